entry: the whole path, thin, as separate processes

path, daemon, tool and two stand-ins.

Ruled out: cpp-httplib's server for callers, since it holds one thread for each connection and a slow sender would take a thread that another service's floor needs. Boost.Beast's parser frames requests over Asio; cpp-httplib serves everything else.

Run by hand: platform, one runner, one entry instance as three processes. A GET and a POST were answered ran; the repeated key was told the first answer and the runner's ledger counts one execution; the same key with another body got 422; a drain below the budget was rejected. Not yet: peers, tests, main job, docs.

--- /dev/null
+++ b/cli/admin_client.cc
@@ -0,0 +1,52 @@
+#include "cli/admin_client.h"
+
+#include "core/http_client.h"
+#include "core/text.h"
+
+namespace wigeonlane {
+namespace {
+
+absl::StatusOr<AdminAnswer> ParseAnswer(const HttpExchange& exchange) {
+  if (!exchange.answer.ok()) return exchange.answer.status();
+  AdminAnswer answer{exchange.answer->code,
+                     nlohmann::ordered_json::parse(exchange.answer->body, nullptr, false)};
+  if (answer.body.is_discarded()) {
+    return absl::UnavailableError(Concat("HTTP ", answer.code, " without a JSON answer"));
+  }
+  return answer;
+}
+
+}  // namespace
+
+absl::StatusOr<AdminAnswer> AdminClient::FetchFrom(const Endpoint& admin,
+                                                   const std::string& path) const {
+  HttpClient client(admin, timeout_);
+  return ParseAnswer(client.Fetch(path));
+}
+
+absl::StatusOr<AdminAnswer> AdminClient::Fetch(const std::string& path) const {
+  absl::Status status = absl::UnavailableError("no admin address given");
+  for (const Endpoint& admin : admins_) {
+    auto answer = FetchFrom(admin, path);
+    if (answer.ok()) return answer;
+    status = answer.status();
+  }
+  return status;
+}
+
+absl::StatusOr<AdminAnswer> AdminClient::Post(const std::string& path, const std::string& body,
+                                              Execution* execution) const {
+  absl::Status status = absl::UnavailableError("no admin address given");
+  for (const Endpoint& admin : admins_) {
+    HttpClient client(admin, timeout_);
+    const HttpExchange exchange = client.Post(path, body);
+    auto answer = ParseAnswer(exchange);
+    *execution = std::max(*execution, exchange.execution);
+    if (answer.ok()) return answer;
+    status = answer.status();
+    // The path carries the record id, so another instance may be asked the same without harm.
+  }
+  return status;
+}
+
+}  // namespace wigeonlane
--- /dev/null
+++ b/core/digest.h
@@ -0,0 +1,43 @@
+/// Stable digests of byte strings: equal in every process and every run.
+#ifndef WIGEONLANE_CORE_DIGEST_H_
+#define WIGEONLANE_CORE_DIGEST_H_
+
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace wigeonlane {
+
+/// 128-bit digest (XXH3). Collisions are treated as impossible; it is not a defence against
+/// callers who forge keys.
+struct Digest {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+
+  auto operator<=>(const Digest&) const = default;
+
+  /// 32 lower-case hexadecimal digits.
+  std::string ToHex() const;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(high, low);
+  }
+
+  template <typename H>
+  friend H AbslHashValue(H state, const Digest& digest) {
+    return H::combine(std::move(state), digest.high, digest.low);
+  }
+};
+
+/// Digest of `bytes`.
+Digest DigestOf(std::string_view bytes);
+
+/// 64-bit digest of `bytes`.
+std::uint64_t ShortDigestOf(std::string_view bytes);
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_CORE_DIGEST_H_
--- /dev/null
+++ b/daemon/admin_api.h
@@ -0,0 +1,46 @@
+/// Operators' side of an entry instance over HTTP: publish, drain, move, ask, status, metrics.
+#ifndef WIGEONLANE_DAEMON_ADMIN_API_H_
+#define WIGEONLANE_DAEMON_ADMIN_API_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "absl/status/status.h"
+#include "core/metrics.h"
+#include "core/settings.h"
+#include "daemon/node_types.h"
+
+namespace wigeonlane {
+
+/// Serves `/v1/admin/...`, `/healthz`, `/readyz` and `/metrics` on a port of its own, so that a
+/// flood of callers never keeps operators out.
+class AdminApi {
+ public:
+  struct Sources {
+    NodeFollower* follower = nullptr;
+    NodeControl* control = nullptr;
+    MetricsRegistry* metrics = nullptr;
+    std::function<bool()> ready;
+    std::function<std::string()> status_json;
+    std::function<void()> refresh_metrics;
+  };
+
+  AdminApi(Endpoint listen, Sources sources);
+  ~AdminApi();
+  AdminApi(const AdminApi&) = delete;
+  AdminApi& operator=(const AdminApi&) = delete;
+
+  /// Starts serving on threads of its own. Errors: Unavailable when the address cannot be had.
+  absl::Status Start();
+
+  void Stop();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_DAEMON_ADMIN_API_H_
--- /dev/null
+++ b/daemon/node.cc
@@ -0,0 +1,203 @@
+#include "daemon/node.h"
+
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <utility>
+
+#include "core/logging.h"
+#include "core/text.h"
+
+namespace wigeonlane {
+namespace {
+
+constexpr std::chrono::milliseconds kSweepInterval{5};
+constexpr std::chrono::milliseconds kReconfigureInterval{50};
+constexpr std::chrono::milliseconds kDrainPoll{5};
+
+std::string NewIncarnation(const std::string& name) {
+  std::random_device random;
+  return Concat(name, "-", absl::Hex(random(), absl::kZeroPad8),
+                absl::Hex(random(), absl::kZeroPad8));
+}
+
+}  // namespace
+
+Node::Node(NodeSettings settings)
+    : settings_(std::move(settings)),
+      incarnation_(NewIncarnation(settings_.name)),
+      work_(asio::make_work_guard(context_)),
+      sweep_timer_(context_),
+      reconfigure_timer_(context_),
+      log_(settings_.platform, settings_.platform_timeout),
+      control_log_(settings_.platform, settings_.platform_timeout),
+      follower_(&log_, clock_),
+      control_(&control_log_, &follower_, clock_),
+      instance_list_(settings_.platform, settings_.platform_timeout),
+      planner_({.self = incarnation_, .snapshot_every = settings_.snapshot_every}, &control_log_,
+               &instance_list_, &follower_, clock_),
+      runners_(clock_),
+      send_threads_(settings_.send_threads),
+      dispatcher_(clock_, &runners_, &send_threads_, &metrics_),
+      desk_(
+          {.author = incarnation_, .commit_pause = settings_.commit_pause}, clock_,
+          [this](const std::vector<NewRecord>& records) { return log_.Append(records); },
+          [this](std::function<void()> work) { asio::post(context_, std::move(work)); }, &metrics_),
+      front_end_({.listen = settings_.listen,
+                  .request_id_prefix = incarnation_,
+                  .most_connections = settings_.most_connections},
+                 {.serve =
+                      [this](CallerRequest request, Responder respond) {
+                        dispatcher_.Handle(std::move(request), std::move(respond));
+                      },
+                  .body_limit =
+                      [this](const std::string& service) { return dispatcher_.BodyLimit(service); },
+                  .ready = [this] { return ready(); }},
+                 &context_, &metrics_),
+      admin_(settings_.admin, {.follower = &follower_,
+                               .control = &control_,
+                               .metrics = &metrics_,
+                               .ready = [this] { return ready(); },
+                               .status_json = [this] { return StatusJson(); },
+                               .refresh_metrics = [this] { RefreshMetrics(); }}) {}
+
+Node::~Node() {
+  const std::atomic<bool> at_once{true};
+  Shutdown(at_once);
+}
+
+absl::Status Node::Start() {
+  dispatcher_.Connect({.desk = &desk_,
+                       .begin_order =
+                           [this](const Digest& key, std::uint64_t body, std::uint64_t id,
+                                  Instant deadline, OrderDesk::StepCallback callback) {
+                             return follower_.WithState([&](const FleetState& state) {
+                               return desk_.Begin(key, body, id, deadline, state.claims(),
+                                                  std::move(callback));
+                             });
+                           },
+                       .ask_author =
+                           [](const std::string&, const Digest&, Instant,
+                              std::function<void(std::optional<CallerAnswer>)> callback) {
+                             callback(std::nullopt);
+                           }});
+  if (absl::Status status = admin_.Start(); !status.ok()) return status;
+  if (absl::Status status = front_end_.Start(); !status.ok()) return status;
+  follower_.Start(
+      {.on_order_batch = [this](const OrderBatch& batch,
+                                const ClaimTable& claims) { desk_.OnFolded(batch, claims); },
+       .on_route_view =
+           [this](std::shared_ptr<const RouteView> view) { OnRouteView(std::move(view)); }});
+  planner_.Start({.members = [this] { return Progress(); }, .on_list = nullptr});
+  ScheduleSweep();
+  ScheduleReconfigure();
+  for (std::size_t i = 0; i < settings_.io_threads; ++i) {
+    io_threads_.emplace_back([this] { context_.run(); });
+  }
+  LogInfo("started", {{"incarnation", incarnation_},
+                      {"listen", settings_.listen.ToString()},
+                      {"admin", settings_.admin.ToString()}});
+  return absl::OkStatus();
+}
+
+std::vector<MemberProgress> Node::Progress() const {
+  return {{incarnation_, follower_.next_offset(), dispatcher_.InFlight()}};
+}
+
+bool Node::ready() const { return !leaving_ && follower_.has_state(); }
+
+void Node::OnRouteView(std::shared_ptr<const RouteView> view) {
+  {
+    const std::lock_guard lock(view_mutex_);
+    view_ = std::move(view);
+  }
+  asio::post(context_, [this] { Reconfigure(); });
+}
+
+void Node::Reconfigure() {
+  std::shared_ptr<const RouteView> view;
+  {
+    const std::lock_guard lock(view_mutex_);
+    view = view_;
+  }
+  if (view == nullptr) return;
+  const std::vector<MemberDemand> members = {{incarnation_, dispatcher_.ReportedDemand()}};
+  dispatcher_.Configure(*view, ComputeAllotments(*view, members, incarnation_));
+}
+
+void Node::ScheduleSweep() {
+  sweep_timer_.expires_after(kSweepInterval);
+  sweep_timer_.async_wait([this](std::error_code error) {
+    if (error) return;
+    dispatcher_.Sweep();
+    ScheduleSweep();
+  });
+}
+
+void Node::ScheduleReconfigure() {
+  reconfigure_timer_.expires_after(kReconfigureInterval);
+  reconfigure_timer_.async_wait([this](std::error_code error) {
+    if (error) return;
+    Reconfigure();
+    ScheduleReconfigure();
+  });
+}
+
+std::string Node::StatusJson() const {
+  nlohmann::ordered_json status{{"name", settings_.name},
+                                {"incarnation", incarnation_},
+                                {"data_centre", settings_.data_centre},
+                                {"ready", ready()}};
+  follower_.WithState([&](const FleetState& state) {
+    status["next_offset"] = state.next_offset();
+    status["config_offset"] = state.config_offset();
+    status["claims"] = state.claims().size();
+  });
+  status["log_end"] = follower_.log_end();
+  status["log_silent_ms"] =
+      std::chrono::duration_cast<std::chrono::milliseconds>(follower_.since_log_answered()).count();
+  status["open_requests"] = dispatcher_.open_calls();
+  status["services"] = nlohmann::ordered_json::array();
+  for (const auto& [name, lane] : dispatcher_.Lanes()) {
+    status["services"].push_back({{"name", name},
+                                  {"slots", lane->slots()},
+                                  {"running", lane->running()},
+                                  {"waiting", lane->waiting()}});
+  }
+  return status.dump();
+}
+
+void Node::RefreshMetrics() {
+  metrics_.SetGauge("wigeonlane_next_offset", "", static_cast<double>(follower_.next_offset()));
+  metrics_.SetGauge("wigeonlane_open_requests", "", static_cast<double>(dispatcher_.open_calls()));
+  metrics_.SetGauge("wigeonlane_log_lines_dropped", "", static_cast<double>(DroppedLogLines()));
+}
+
+std::uint64_t Node::Shutdown(const std::atomic<bool>& give_up) {
+  if (stopped_.exchange(true)) return 0;
+  leaving_ = true;
+  front_end_.StopAccepting();
+  const Instant until = clock_.Now() + settings_.shutdown_wait;
+  while (dispatcher_.open_calls() > 0 && !give_up && clock_.Now() < until) {
+    std::this_thread::sleep_for(kDrainPoll);
+  }
+  const std::uint64_t cut_off = dispatcher_.open_calls();
+  LogInfo("stopping", {{"requests_cut_off", std::to_string(cut_off)}});
+  asio::post(context_, [this] {
+    sweep_timer_.cancel();
+    reconfigure_timer_.cancel();
+  });
+  admin_.Stop();
+  log_.Cancel();
+  control_log_.Cancel();
+  instance_list_.Cancel();
+  planner_.Stop();
+  follower_.Stop();
+  desk_.Stop();
+  work_.reset();
+  context_.stop();
+  for (std::thread& thread : io_threads_) thread.join();
+  return cut_off;
+}
+
+}  // namespace wigeonlane
--- /dev/null
+++ b/daemon/node.h
@@ -0,0 +1,84 @@
+/// One entry instance: owns every part and wires them together.
+#ifndef WIGEONLANE_DAEMON_NODE_H_
+#define WIGEONLANE_DAEMON_NODE_H_
+
+#include <asio/executor_work_guard.hpp>
+#include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/status/status.h"
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "core/thread_pool.h"
+#include "daemon/admin_api.h"
+#include "daemon/node_settings.h"
+#include "daemon/node_types.h"
+#include "entry/dispatcher.h"
+#include "entry/front_end.h"
+#include "entry/order_desk.h"
+#include "entry/runner_client.h"
+
+namespace wigeonlane {
+
+class Node {
+ public:
+  explicit Node(NodeSettings settings);
+  ~Node();
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+
+  /// Starts all parts. Errors: Unavailable when an address cannot be had.
+  absl::Status Start();
+
+  /// Whether callers may be sent here.
+  bool ready() const;
+
+  /// Stops gracefully: not ready at once, requests in flight are finished or `give_up` turns
+  /// true or the settings' wait passes, then everything ends. Returns the requests cut off.
+  std::uint64_t Shutdown(const std::atomic<bool>& give_up);
+
+ private:
+  void OnRouteView(std::shared_ptr<const RouteView> view);
+  void Reconfigure();
+  void ScheduleSweep();
+  void ScheduleReconfigure();
+  std::vector<MemberProgress> Progress() const;
+  std::string StatusJson() const;
+  void RefreshMetrics();
+
+  const NodeSettings settings_;
+  const std::string incarnation_;
+  SteadyClock clock_;
+  MetricsRegistry metrics_;
+  asio::io_context context_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  asio::steady_timer sweep_timer_;
+  asio::steady_timer reconfigure_timer_;
+  HttpLogService log_;
+  HttpLogService control_log_;
+  NodeFollower follower_;
+  NodeControl control_;
+  HttpInstanceList instance_list_;
+  NodePlanner planner_;
+  RunnerClient runners_;
+  ThreadPool send_threads_;
+  Dispatcher dispatcher_;
+  OrderDesk desk_;
+  FrontEnd front_end_;
+  AdminApi admin_;
+  std::vector<std::thread> io_threads_;
+  mutable std::mutex view_mutex_;
+  std::shared_ptr<const RouteView> view_;
+  std::atomic<bool> leaving_{false};
+  std::atomic<bool> stopped_{false};
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_DAEMON_NODE_H_
--- /dev/null
+++ b/daemon/node_settings.cc
@@ -0,0 +1,102 @@
+#include "daemon/node_settings.h"
+
+#include <algorithm>
+
+#include "core/text.h"
+
+namespace wigeonlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+absl::StatusOr<Endpoint> Address(const SettingValues& values, const std::string& option) {
+  auto endpoint = ParseEndpoint(values.Text(option));
+  if (endpoint.ok()) return endpoint;
+  return absl::InvalidArgumentError(
+      Concat("option --", option, ": ", MessageOf(endpoint.status())));
+}
+
+absl::Status OneOf(const SettingValues& values, const std::string& option,
+                   const std::vector<std::string>& allowed) {
+  const std::string& text = values.Text(option);
+  if (std::find(allowed.begin(), allowed.end(), text) != allowed.end()) return absl::OkStatus();
+  std::string list;
+  for (const std::string& item : allowed) AppendTo(&list, list.empty() ? "" : ", ", item);
+  return absl::InvalidArgumentError(
+      Concat("option --", option, ": '", text, "' is not allowed; allowed: ", list));
+}
+
+}  // namespace
+
+const std::vector<OptionSpec>& NodeOptions() {
+  static const std::vector<OptionSpec> kOptions = {
+      {"help", "", "print this help and exit", false, true},
+      {"check-settings", "", "check all settings, print them and exit", false, true},
+      {"name", "", "name of this entry instance, as the platform lists it", true},
+      {"data-centre", "", "data centre that this instance runs in", true},
+      {"listen", "127.0.0.1:7700", "address for callers, IPv4:PORT"},
+      {"admin", "127.0.0.1:7701", "address for operators, health and metrics, IPv4:PORT"},
+      {"peer", "127.0.0.1:7702", "UDP and TCP address for other entry instances, IPv4:PORT"},
+      {"platform", "127.0.0.1:7600", "address of the platform's service, IPv4:PORT"},
+      {"seeds", "", "peer addresses to try first, comma-separated IPv4:PORT"},
+      {"log-level", "info", "trace, debug, info, warn, error or off"},
+      {"log-format", "kv", "kv (key=value) or json"},
+      {"log-decisions", "on", "one line for each routing or placement decision: on or off"},
+      {"io-threads", "2", "threads for callers' and peers' connections, 1 to 64"},
+      {"send-threads", "512", "most requests on runners at once, 1 to 8192"},
+      {"most-connections", "4096", "most callers' connections, 1 to 100000"},
+      {"commit-pause", "0ms", "pause between order batches, to group more, 0ms to 1s"},
+      {"platform-timeout", "2s", "longest wait for one answer of the platform, 10ms to 60s"},
+      {"shutdown-wait", "30s", "longest wait for requests in flight after SIGTERM, 0ms to 1h"},
+      {"snapshot-every", "20000", "records between snapshots on the log, 10 to 10000000"},
+  };
+  return kOptions;
+}
+
+absl::StatusOr<NodeSettings> ParseNodeSettings(const SettingValues& values) {
+  NodeSettings settings;
+  settings.name = values.Text("name");
+  settings.data_centre = values.Text("data-centre");
+  const auto listen = Address(values, "listen");
+  const auto admin = Address(values, "admin");
+  const auto peer = Address(values, "peer");
+  const auto platform = Address(values, "platform");
+  const auto seeds = ParseEndpoints(values.Text("seeds"));
+  const auto io_threads = values.Integer("io-threads", 1, 64);
+  const auto send_threads = values.Integer("send-threads", 1, 8192);
+  const auto connections = values.Integer("most-connections", 1, 100'000);
+  const auto commit_pause = values.Period("commit-pause", milliseconds(0), milliseconds(1'000));
+  const auto platform_timeout =
+      values.Period("platform-timeout", milliseconds(10), milliseconds(60'000));
+  const auto shutdown_wait =
+      values.Period("shutdown-wait", milliseconds(0), milliseconds(3'600'000));
+  const auto snapshot_every = values.Integer("snapshot-every", 10, 10'000'000);
+  for (const absl::Status& status :
+       {listen.status(), admin.status(), peer.status(), platform.status(), seeds.status(),
+        io_threads.status(), send_threads.status(), connections.status(), commit_pause.status(),
+        platform_timeout.status(), shutdown_wait.status(), snapshot_every.status(),
+        OneOf(values, "log-level", {"trace", "debug", "info", "warn", "error", "off"}),
+        OneOf(values, "log-format", {"kv", "json"}),
+        OneOf(values, "log-decisions", {"on", "off"})}) {
+    if (!status.ok()) return status;
+  }
+  settings.listen = *listen;
+  settings.admin = *admin;
+  settings.peer = *peer;
+  settings.platform = *platform;
+  settings.seeds = *seeds;
+  settings.log.level = values.Text("log-level");
+  settings.log.format =
+      values.Text("log-format") == "json" ? LogFormat::kJson : LogFormat::kKeyValue;
+  settings.log.decisions = values.Text("log-decisions") == "on";
+  settings.io_threads = static_cast<std::size_t>(*io_threads);
+  settings.send_threads = static_cast<std::size_t>(*send_threads);
+  settings.most_connections = static_cast<std::size_t>(*connections);
+  settings.commit_pause = *commit_pause;
+  settings.platform_timeout = *platform_timeout;
+  settings.shutdown_wait = *shutdown_wait;
+  settings.snapshot_every = static_cast<std::uint64_t>(*snapshot_every);
+  return settings;
+}
+
+}  // namespace wigeonlane
--- /dev/null
+++ b/daemon/node_settings.h
@@ -0,0 +1,45 @@
+/// Settings of one entry instance, from flags and environment.
+#ifndef WIGEONLANE_DAEMON_NODE_SETTINGS_H_
+#define WIGEONLANE_DAEMON_NODE_SETTINGS_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/status/statusor.h"
+#include "core/logging.h"
+#include "core/settings.h"
+
+namespace wigeonlane {
+
+inline constexpr std::string_view kNodeEnvironmentPrefix = "WIGEONLANE_";
+
+/// Checked settings of `wigeonlaned`.
+struct NodeSettings {
+  std::string name;
+  std::string data_centre;
+  Endpoint listen;
+  Endpoint admin;
+  Endpoint peer;
+  Endpoint platform;
+  std::vector<Endpoint> seeds;
+  LogOptions log;
+  std::size_t io_threads = 0;
+  std::size_t send_threads = 0;
+  std::size_t most_connections = 0;
+  std::chrono::milliseconds commit_pause{0};
+  std::chrono::milliseconds platform_timeout{0};
+  std::chrono::milliseconds shutdown_wait{0};
+  std::uint64_t snapshot_every = 0;  ///< Records between snapshots.
+};
+
+/// The table of options, shared by flags, environment and `--help`.
+const std::vector<OptionSpec>& NodeOptions();
+
+/// Errors: InvalidArgument, one line that names the option, the value and what is allowed.
+absl::StatusOr<NodeSettings> ParseNodeSettings(const SettingValues& values);
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_DAEMON_NODE_SETTINGS_H_
--- /dev/null
+++ b/daemon/wigeonlaned_main.cc
@@ -0,0 +1,72 @@
+/// wigeonlaned: one entry instance between callers and backend servers.
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <thread>
+
+#include "core/logging.h"
+#include "daemon/node.h"
+#include "daemon/node_settings.h"
+
+namespace {
+
+constexpr int kExitUsage = 2;
+constexpr int kExitFailure = 1;
+constexpr std::chrono::milliseconds kSignalPoll{10};
+
+std::atomic<int> g_signals{0};
+std::atomic<bool> g_give_up{false};
+
+void OnSignal(int /*signal*/) {
+  if (++g_signals > 1) g_give_up = true;
+}
+
+int Fail(int code, std::string_view why) {
+  std::cerr << "wigeonlaned: " << why << "\n";
+  return code;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using wigeonlane::NodeOptions;
+  std::signal(SIGTERM, OnSignal);
+  std::signal(SIGINT, OnSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto parsed =
+      wigeonlane::ParseCommandLine(argc, argv, NodeOptions(), wigeonlane::kNodeEnvironmentPrefix);
+  if (!parsed.ok()) return Fail(kExitUsage, std::string(parsed.status().message()));
+  if (parsed->values.Switch("help")) {
+    std::cout << "wigeonlaned: an entry instance of wigeonlane\n\nOptions:\n"
+              << wigeonlane::OptionHelp(NodeOptions(), wigeonlane::kNodeEnvironmentPrefix);
+    return 0;
+  }
+  if (!parsed->words.empty()) {
+    return Fail(kExitUsage, "unexpected word '" + parsed->words.front() + "'; allowed: options");
+  }
+  auto settings = wigeonlane::ParseNodeSettings(parsed->values);
+  if (!settings.ok()) return Fail(kExitUsage, std::string(settings.status().message()));
+  if (parsed->values.Switch("check-settings")) {
+    for (const auto& option : NodeOptions()) {
+      if (!option.is_switch) {
+        std::cout << option.name << " = " << parsed->values.Text(option.name) << "\n";
+      }
+    }
+    return 0;
+  }
+  if (absl::Status status = wigeonlane::StartLogging(settings->log); !status.ok()) {
+    return Fail(kExitUsage, std::string(status.message()));
+  }
+  std::uint64_t cut_off = 0;
+  {
+    wigeonlane::Node node(*std::move(settings));
+    if (absl::Status status = node.Start(); !status.ok()) {
+      return Fail(kExitFailure, std::string(status.message()));
+    }
+    while (g_signals == 0) std::this_thread::sleep_for(kSignalPoll);
+    cut_off = node.Shutdown(g_give_up);
+  }
+  wigeonlane::StopLogging();
+  return cut_off == 0 ? 0 : kExitFailure;
+}
--- /dev/null
+++ b/entry/dispatcher.h
@@ -0,0 +1,106 @@
+/// The path of a request: claim, admit, choose a runner, send, verify, answer.
+#ifndef WIGEONLANE_ENTRY_DISPATCHER_H_
+#define WIGEONLANE_ENTRY_DISPATCHER_H_
+
+#include <atomic>
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <shared_mutex>
+#include <string>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "core/thread_pool.h"
+#include "entry/caller_request.h"
+#include "entry/order_desk.h"
+#include "entry/runner_client.h"
+#include "entry/service_lane.h"
+#include "fleet/route_view.h"
+#include "policy/allotment.h"
+
+namespace wigeonlane {
+
+/// Owner of all service lanes. `Handle` never blocks: requests wait without a thread, and only
+/// requests that hold a slot use one.
+class Dispatcher {
+ public:
+  /// Takes an order to the desk with the folded state locked.
+  using BeginOrder =
+      std::function<OrderDesk::Step(const Digest& key, std::uint64_t body, std::uint64_t id,
+                                    Instant deadline, OrderDesk::StepCallback callback)>;
+  /// Asks the author of a claim for the outcome; the callback gets none when it is not known.
+  using AskAuthor =
+      std::function<void(const std::string& author, const Digest& key, Instant deadline,
+                         std::function<void(std::optional<CallerAnswer>)> callback)>;
+
+  struct Wiring {
+    OrderDesk* desk = nullptr;
+    BeginOrder begin_order;
+    AskAuthor ask_author;
+  };
+
+  Dispatcher(const SteadyClock& clock, RunnerClient* runners, ThreadPool* threads,
+             MetricsRegistry* metrics);
+
+  /// Completes the wiring; called once before the first request.
+  void Connect(Wiring wiring) { wiring_ = std::move(wiring); }
+
+  /// Serves one request; `respond` is called exactly once, on any thread.
+  void Handle(CallerRequest request, Responder respond);
+
+  /// Applies a division of the fleet's slots, computed from `view`.
+  void Configure(const RouteView& view, const std::map<std::string, ServiceAllotment>& allotments);
+
+  /// Refuses what can no longer be answered in time. Called every few milliseconds.
+  void Sweep();
+
+  /// Largest body that the service takes, or none for an unknown service.
+  std::optional<std::uint32_t> BodyLimit(const std::string& service) const;
+
+  /// Demand by service to report to the other entry instances.
+  std::map<std::string, std::uint32_t> ReportedDemand() const;
+
+  /// Requests in flight by instance over all services.
+  std::map<std::string, std::uint32_t> InFlight() const;
+
+  /// Requests taken in and not yet answered.
+  std::uint64_t open_calls() const { return open_calls_; }
+
+  /// Lanes by service, for status pages.
+  std::map<std::string, std::shared_ptr<ServiceLane>> Lanes() const;
+
+ private:
+  std::shared_ptr<ServiceLane> LaneOf(const std::string& service) const;
+  void StartOrder(const CallPtr& call);
+  void OnOrderStep(const CallPtr& call, const OrderDesk::Step& step);
+  void TellAuthorsOutcome(const CallPtr& call, const std::string& author, const Digest& key);
+  void Admit(const CallPtr& call);
+  void Carry(const LaneChange& change);
+  void Run(const CallPtr& call);
+  CallerAnswer SendWithRetries(const Call& call);
+  bool MayRetry(const Call& call, const AttemptResult& result, const ExecutionTrace& trace,
+                std::size_t attempts) const;
+  void Refuse(const RefusedCall& refused);
+  void Fail(const CallPtr& call, const Verdict& verdict);
+  void Answer(const CallPtr& call, CallerAnswer answer);
+
+  const SteadyClock& clock_;
+  RunnerClient& runners_;
+  ThreadPool& threads_;
+  MetricsRegistry& metrics_;
+  Wiring wiring_;
+  std::atomic<std::uint64_t> next_id_{0};
+  std::atomic<std::uint64_t> open_calls_{0};
+  mutable std::shared_mutex lanes_mutex_;
+  std::map<std::string, std::shared_ptr<ServiceLane>> lanes_;
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_ENTRY_DISPATCHER_H_
--- /dev/null
+++ b/entry/service_lane.h
@@ -0,0 +1,124 @@
+/// One service at one entry instance: its slots, queue, runners and retries under one lock.
+#ifndef WIGEONLANE_ENTRY_SERVICE_LANE_H_
+#define WIGEONLANE_ENTRY_SERVICE_LANE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "core/metrics.h"
+#include "entry/caller_request.h"
+#include "fleet/document.h"
+#include "policy/admission.h"
+#include "policy/allotment.h"
+#include "policy/retry_budget.h"
+#include "policy/runner_set.h"
+
+namespace wigeonlane {
+
+class ServiceLane;
+
+/// A request on its way through an entry instance.
+struct Call {
+  std::uint64_t id = 0;
+  CallerRequest request;
+  Responder respond;
+  RequestTerms terms;
+  std::shared_ptr<ServiceLane> lane;
+  bool may_repeat = false;          ///< May be sent again although it may have run.
+  std::optional<Digest> order_key;  ///< Set while this call owns the order's claim.
+  Instant started;                  ///< When it got its slot.
+};
+
+using CallPtr = std::shared_ptr<Call>;
+
+/// A refused call with the reason.
+struct RefusedCall {
+  CallPtr call;
+  Refusal refusal;
+};
+
+/// Calls that changed their fate with one step of the lane.
+struct LaneChange {
+  std::vector<CallPtr> runnable;
+  std::vector<RefusedCall> refused;
+};
+
+/// Safe for several threads. Work for one service never takes another service's lock or places.
+class ServiceLane {
+ public:
+  ServiceLane(const std::string& service, const SteadyClock& clock, MetricsRegistry* metrics);
+
+  /// Applies a new profile and allotment.
+  LaneChange Configure(const ServiceProfile& profile, const ServiceAllotment& allotment);
+
+  /// Offers a call: it runs, waits here, or is refused.
+  LaneChange Offer(const CallPtr& call);
+
+  /// Whether an offer would be refused now; used before an order is claimed.
+  std::optional<Refusal> WouldRefuse(const Call& call) const;
+
+  /// Picks a runner and takes one of its slots.
+  std::optional<RunnerPick> Pick(const std::vector<std::string>& exclude);
+
+  /// Gives the runner's slot back.
+  void FinishAttempt(const std::string& instance, bool success);
+
+  /// Gives the lane's slot back.
+  LaneChange FinishCall(const Call& call);
+
+  /// Refuses what can no longer be answered in time and lets probes of ejected runners through.
+  LaneChange Sweep();
+
+  /// Takes one retry from the budget.
+  bool TakeRetry();
+
+  /// Demand to report to the other entry instances: running and waiting, rising at once and
+  /// falling by half in `kDemandHalfLife`, so that shares do not follow every gap.
+  std::uint32_t ReportedDemand();
+
+  /// Requests in flight by instance.
+  std::map<std::string, std::uint32_t> InFlight() const;
+
+  ServiceProfile profile() const;
+  std::uint32_t running() const;
+  std::uint32_t waiting() const;
+  std::uint32_t slots() const;
+
+  LatencyHistogram& latency() { return latency_; }
+
+  /// Counts an answer by verdict.
+  void CountAnswer(Execution execution, bool refused);
+
+ private:
+  static constexpr std::chrono::duration<double> kDemandHalfLife{0.5};
+
+  LaneChange FromAdmission(const std::vector<AdmissionRequest>& runnable,
+                           const std::vector<Refusal>& refused);
+  CallPtr TakeWaiting(std::uint64_t id);
+  std::vector<AdmissionRequest> ApplyLimits();
+
+  const SteadyClock& clock_;
+  LatencyHistogram& latency_;
+  std::map<Execution, std::atomic<std::uint64_t>*> answers_;
+  std::atomic<std::uint64_t>& refusals_;
+  mutable std::mutex mutex_;
+  ServiceProfile profile_;
+  std::uint32_t queue_places_ = 0;
+  Admission<SteadyClock> admission_;
+  RunnerSet<SteadyClock> runners_;
+  RetryBudget retries_;
+  std::map<std::uint64_t, CallPtr> waiting_;
+  double smoothed_demand_ = 0;
+  Instant demand_at_{};
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_ENTRY_SERVICE_LANE_H_
--- /dev/null
+++ b/standin/backend_main.cc
@@ -0,0 +1,280 @@
+/// standin-backend: one runner of a backend server for tests and trials.
+#include <httplib.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <semaphore>
+#include <string>
+#include <thread>
+
+#include "absl/strings/numbers.h"
+#include "core/document.h"
+#include "core/http_client.h"
+#include "core/settings.h"
+#include "core/text.h"
+#include "standin/execution_ledger.h"
+#include "standin/fault_switches.h"
+
+namespace wigeonlane {
+namespace {
+
+constexpr std::string_view kEnvironmentPrefix = "WIGEONLANE_STANDIN_";
+constexpr std::chrono::milliseconds kPoll{5};
+constexpr std::chrono::milliseconds kPlatformTimeout{1'000};
+constexpr std::ptrdiff_t kMostSlots = 4096;
+
+const std::vector<OptionSpec>& Options() {
+  static const std::vector<OptionSpec> kOptions = {
+      {"help", "", "print this help", false, true},
+      {"name", "", "instance name that the platform lists", true},
+      {"listen", "", "address of the runner, IPv4:PORT", true},
+      {"control", "", "address for faults, ledger and reboots, IPv4:PORT", true},
+      {"platform", "", "address of the stand-in platform to register at, or empty"},
+      {"pool", "pool", "pool that the platform lists"},
+      {"rack", "rack", "rack that the platform lists"},
+      {"data-centre", "dc", "data centre that the platform lists"},
+      {"slots", "8", "requests served at once, 1 to 4096"},
+      {"connections", "64", "connections accepted at once, 1 to 4096"},
+      {"service-time", "2ms", "time that one request takes unless it asks otherwise, 0ms to 1h"},
+  };
+  return kOptions;
+}
+
+std::atomic<bool> g_stop{false};
+
+void OnSignal(int /*signal*/) { g_stop = true; }
+
+/// A runner with bounded slots that answers with what it was asked, and can misbehave.
+class Runner {
+ public:
+  Runner(std::ptrdiff_t slots, std::chrono::milliseconds service_time)
+      : slots_(slots),
+        service_time_(service_time),
+        faults_({{"slow_ms", 0},
+                 {"half_answers", 0},
+                 {"wrong_ids", 0},
+                 {"double_answers", 0},
+                 {"no_length", 0},
+                 {"fail_all", 0},
+                 {"refuse", 0},
+                 {"frozen", 0}}) {}
+
+  void Serve(const httplib::Request& request, httplib::Response* response) {
+    const std::string id = request.get_header_value("Wigeonlane-Request-Id");
+    response->set_header("Wigeonlane-Request-Id", id);
+    while (faults_.On("frozen") && !g_stop) std::this_thread::sleep_for(kPoll);
+    if (faults_.Consume("refuse")) {
+      response->status = 503;
+      response->set_header("Wigeonlane-Refused", "not-run");
+      return;
+    }
+    if (faults_.On("fail_all")) {
+      response->status = 500;
+      response->set_content("failing everything", "text/plain");
+      return;
+    }
+    slots_.acquire();
+    ledger_.Begin(id, request.get_header_value("Idempotency-Key"));
+    std::this_thread::sleep_for(WorkTime(request));
+    faults_.Delay("slow_ms");
+    ledger_.End();
+    slots_.release();
+    WriteAnswer(request, id, response);
+  }
+
+  ExecutionLedger& ledger() { return ledger_; }
+  FaultSwitches& faults() { return faults_; }
+
+ private:
+  std::chrono::microseconds WorkTime(const httplib::Request& request) const {
+    std::int64_t micros = 0;
+    if (request.has_param("work_us") &&
+        absl::SimpleAtoi(request.get_param_value("work_us"), &micros)) {
+      return std::chrono::microseconds(micros);
+    }
+    return service_time_;
+  }
+
+  void WriteAnswer(const httplib::Request& request, const std::string& id,
+                   httplib::Response* response) {
+    const std::string body = Concat("done ", id, " ", request.body);
+    response->status = 200;
+    if (faults_.Consume("wrong_ids")) {
+      response->headers.erase("Wigeonlane-Request-Id");
+      response->set_header("Wigeonlane-Request-Id", "someone-elses");
+    }
+    const bool half = faults_.Consume("half_answers");
+    const bool twice = faults_.Consume("double_answers");
+    if (!half && !twice) {
+      response->set_content(body, "text/plain");
+      return;
+    }
+    response->set_content_provider(
+        body.size(), "text/plain",
+        [body, half, id](std::size_t offset, std::size_t /*length*/, httplib::DataSink& sink) {
+          if (half) {
+            sink.write(body.data(), body.size() / 2);
+            return false;
+          }
+          const std::string again =
+              Concat(body.substr(offset), "HTTP/1.1 200 OK\r\n", "Wigeonlane-Request-Id: ", id,
+                     "\r\nContent-Length: 2\r\n\r\nno");
+          return sink.write(again.data(), again.size());
+        });
+  }
+
+  std::counting_semaphore<kMostSlots> slots_;
+  const std::chrono::milliseconds service_time_;
+  ExecutionLedger ledger_;
+  FaultSwitches faults_;
+};
+
+struct BackendSettings {
+  std::string name;
+  Endpoint listen;
+  Endpoint control;
+  std::string platform;
+  std::string pool;
+  std::string rack;
+  std::string data_centre;
+  std::int64_t slots = 0;
+  std::int64_t connections = 0;
+  std::chrono::milliseconds service_time{0};
+};
+
+absl::StatusOr<BackendSettings> ParseSettings(const SettingValues& values) {
+  const auto listen = ParseEndpoint(values.Text("listen"));
+  const auto control = ParseEndpoint(values.Text("control"));
+  const auto slots = values.Integer("slots", 1, kMostSlots);
+  const auto connections = values.Integer("connections", 1, 4096);
+  const auto service_time =
+      values.Period("service-time", std::chrono::milliseconds(0), std::chrono::hours(1));
+  for (const absl::Status& status : {listen.status(), control.status(), slots.status(),
+                                     connections.status(), service_time.status()}) {
+    if (!status.ok()) return status;
+  }
+  return BackendSettings{values.Text("name"),
+                         *listen,
+                         *control,
+                         values.Text("platform"),
+                         values.Text("pool"),
+                         values.Text("rack"),
+                         values.Text("data-centre"),
+                         *slots,
+                         *connections,
+                         *service_time};
+}
+
+void RegisterAtPlatform(const BackendSettings& settings) {
+  if (settings.platform.empty()) return;
+  const auto platform = ParseEndpoint(settings.platform);
+  if (!platform.ok()) return;
+  HttpClient client(*platform, kPlatformTimeout);
+  client.Post("/instances/register", nlohmann::json{{"name", settings.name},
+                                                    {"role", "worker"},
+                                                    {"pool", settings.pool},
+                                                    {"rack", settings.rack},
+                                                    {"data_centre", settings.data_centre},
+                                                    {"host", settings.listen.host},
+                                                    {"port", settings.listen.port},
+                                                    {"control_port", settings.control.port}}
+                                         .dump());
+}
+
+/// Serves until the process stops; a reboot closes the port for a while in between.
+class BackendProcess {
+ public:
+  explicit BackendProcess(BackendSettings settings)
+      : settings_(std::move(settings)), runner_(settings_.slots, settings_.service_time) {}
+
+  int Run() {
+    RouteControl();
+    if (!control_.bind_to_port(settings_.control.host, settings_.control.port)) {
+      std::cerr << "standin-backend: cannot listen on " << settings_.control.ToString() << "\n";
+      return 1;
+    }
+    std::thread control([this] { control_.listen_after_bind(); });
+    while (!g_stop) {
+      if (!ServeOneBoot()) break;
+      if (g_stop) break;
+      std::this_thread::sleep_for(std::chrono::milliseconds(reboot_for_ms_.exchange(0)));
+    }
+    control_.stop();
+    control.join();
+    return 0;
+  }
+
+ private:
+  void RouteControl() {
+    control_.Post("/faults", [this](const auto& request, auto& response) {
+      const absl::Status status = runner_.faults().SetFromJson(request.body);
+      response.status = status.ok() ? 200 : 400;
+      response.set_content(std::string(status.message()), "text/plain");
+    });
+    control_.Get("/ledger", [this](const auto&, auto& response) {
+      response.set_content(runner_.ledger().ToJson(), "application/json");
+    });
+    control_.Post("/control/reboot", [this](const auto& request, auto&) {
+      const auto json = ParseJson(request.body);
+      runner_.ledger().CutOff();
+      reboot_for_ms_ = json.ok() ? json->value("for_ms", std::int64_t{100}) : 100;
+    });
+  }
+
+  bool ServeOneBoot() {
+    httplib::Server server;
+    const auto threads = static_cast<std::size_t>(settings_.connections);
+    server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
+    server.set_tcp_nodelay(true);
+    server.set_keep_alive_max_count(1'000'000'000);
+    server.set_keep_alive_timeout(60);
+    const auto serve = [this](const httplib::Request& request, httplib::Response& response) {
+      runner_.Serve(request, &response);
+    };
+    server.Get(".*", serve).Post(".*", serve).Put(".*", serve).Delete(".*", serve);
+    if (!server.bind_to_port(settings_.listen.host, settings_.listen.port)) {
+      std::cerr << "standin-backend: cannot listen on " << settings_.listen.ToString() << "\n";
+      return false;
+    }
+    std::thread serving([&] { server.listen_after_bind(); });
+    RegisterAtPlatform(settings_);
+    while (!g_stop && reboot_for_ms_ == 0) std::this_thread::sleep_for(kPoll);
+    server.stop();
+    serving.join();
+    return true;
+  }
+
+  const BackendSettings settings_;
+  Runner runner_;
+  httplib::Server control_;
+  std::atomic<std::int64_t> reboot_for_ms_{0};
+};
+
+}  // namespace
+}  // namespace wigeonlane
+
+int main(int argc, char** argv) {
+  std::signal(SIGTERM, wigeonlane::OnSignal);
+  std::signal(SIGINT, wigeonlane::OnSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto parsed = wigeonlane::ParseCommandLine(argc, argv, wigeonlane::Options(),
+                                                   wigeonlane::kEnvironmentPrefix);
+  if (!parsed.ok()) {
+    std::cerr << "standin-backend: " << parsed.status().message() << "\n";
+    return 2;
+  }
+  if (parsed->values.Switch("help")) {
+    std::cout << "standin-backend: a small stand-in of one runner, for tests and trials\n\n"
+              << wigeonlane::OptionHelp(wigeonlane::Options(), wigeonlane::kEnvironmentPrefix);
+    return 0;
+  }
+  auto settings = wigeonlane::ParseSettings(parsed->values);
+  if (!settings.ok()) {
+    std::cerr << "standin-backend: " << settings.status().message() << "\n";
+    return 2;
+  }
+  return wigeonlane::BackendProcess(*std::move(settings)).Run();
+}
--- /dev/null
+++ b/standin/platform_main.cc
@@ -0,0 +1,225 @@
+/// standin-platform: the platform's log, instance list and reboots for tests and trials.
+#include <httplib.h>
+
+#include <atomic>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+
+#include "absl/strings/escaping.h"
+#include "absl/strings/numbers.h"
+#include "core/document.h"
+#include "core/settings.h"
+#include "core/text.h"
+#include "standin/fault_switches.h"
+#include "standin/platform_instances.h"
+#include "standin/platform_log.h"
+
+namespace wigeonlane {
+namespace {
+
+constexpr std::string_view kEnvironmentPrefix = "WIGEONLANE_STANDIN_";
+constexpr std::size_t kServerThreads = 192;
+constexpr std::chrono::milliseconds kSignalPoll{20};
+
+const std::vector<OptionSpec>& Options() {
+  static const std::vector<OptionSpec> kOptions = {
+      {"help", "", "print this help", false, true},
+      {"listen", "127.0.0.1:7600", "address of the platform's HTTP interface, IPv4:PORT"},
+      {"appends-per-second", "400", "most appends a second, 1 to 100000"},
+      {"keep-records", "200000", "records kept before the oldest is trimmed, 1 to 10000000"},
+      {"list-lag", "1s", "how long the instance list lags behind, 10ms to 1h"},
+      {"reboot-time", "500ms", "how long a worker's reboot takes, 1ms to 1h"},
+  };
+  return kOptions;
+}
+
+std::atomic<bool> g_stop{false};
+
+void OnSignal(int /*signal*/) { g_stop = true; }
+
+Offset OffsetParameter(const httplib::Request& request, const char* name, Offset fallback) {
+  Offset value = fallback;
+  if (!request.has_param(name) || !absl::SimpleAtoi(request.get_param_value(name), &value)) {
+    return fallback;
+  }
+  return value;
+}
+
+/// The HTTP face of the log and the list, with faults in between.
+class PlatformServer {
+ public:
+  PlatformServer(PlatformLog* log, PlatformInstances* instances)
+      : log_(*log),
+        instances_(*instances),
+        faults_({{"log_down", 0},
+                 {"log_delay_ms", 0},
+                 {"lose_append_answers", 0},
+                 {"duplicate_appends", 0},
+                 {"list_stale", 0},
+                 {"list_down", 0}}) {}
+
+  void Route(httplib::Server* server) {
+    server->Post("/log/append",
+                 [this](const auto& request, auto& response) { Append(request, &response); });
+    server->Get("/log/read",
+                [this](const auto& request, auto& response) { Read(request, &response); });
+    server->Get("/log/status", [this](const auto&, auto& response) {
+      response.set_content(Concat("{\"appends\":", log_.appends(), "}"), "application/json");
+    });
+    server->Post("/log/trim", [this](const auto& request, auto&) {
+      log_.TrimTo(OffsetParameter(request, "to", 0));
+    });
+    server->Get("/instances", [this](const auto&, auto& response) {
+      response.status = faults_.On("list_down") ? 503 : 200;
+      response.set_content(instances_.ListJson(), "application/json");
+    });
+    server->Post("/instances/register", [this](const auto& request, auto& response) {
+      Answer(instances_.Register(request.body), &response);
+    });
+    server->Post(R"(/instances/([A-Za-z0-9._-]+)/reboot)",
+                 [this](const auto& request, auto& response) {
+                   Answer(instances_.Reboot(request.matches[1]), &response);
+                 });
+    server->Post(
+        R"(/instances/([A-Za-z0-9._-]+)/leave)", [this](const auto& request, auto& response) {
+          Answer(instances_.SetState(request.matches[1], ListedState::kLeaving), &response);
+        });
+    server->Post("/faults", [this](const auto& request, auto& response) {
+      Answer(faults_.SetFromJson(request.body), &response);
+    });
+    server->Get("/faults", [this](const auto&, auto& response) {
+      response.set_content(faults_.ToJson(), "application/json");
+    });
+  }
+
+  bool list_is_stale() const { return faults_.On("list_stale"); }
+
+ private:
+  static void Answer(const absl::Status& status, httplib::Response* response) {
+    response->status = status.ok() ? 200 : 400;
+    response->set_content(status.ok() ? "{}" : std::string(status.message()), "text/plain");
+  }
+
+  void Append(const httplib::Request& request, httplib::Response* response) {
+    faults_.Delay("log_delay_ms");
+    if (faults_.On("log_down")) {
+      response->status = 503;
+      return;
+    }
+    const auto json = ParseJson(request.body);
+    std::vector<NewRecord> records;
+    if (json.ok() && json->contains("records")) {
+      for (const auto& item : json->at("records")) {
+        NewRecord record{item.value("id", ""), ""};
+        if (absl::Base64Unescape(item.value("payload", ""), &record.payload)) {
+          records.push_back(std::move(record));
+        }
+      }
+    }
+    if (records.empty()) return Answer(absl::InvalidArgumentError("no records"), response);
+    const auto at = log_.Append(records);
+    if (!at.ok()) {
+      response->status = 429;
+      return;
+    }
+    if (faults_.Consume("duplicate_appends")) log_.Append(records).IgnoreError();
+    if (faults_.Consume("lose_append_answers")) {
+      response->status = 500;
+      return;
+    }
+    response->set_content(Concat("{\"offset\":", *at, "}"), "application/json");
+  }
+
+  void Read(const httplib::Request& request, httplib::Response* response) {
+    faults_.Delay("log_delay_ms");
+    const Offset from = OffsetParameter(request, "from", 0);
+    const std::chrono::milliseconds wait(OffsetParameter(request, "wait_ms", 0));
+    const auto page = log_.Read(from, OffsetParameter(request, "most", 1000), wait);
+    if (faults_.On("log_down")) {
+      response->status = 503;
+      return;
+    }
+    if (!page.ok()) {
+      response->status = 410;
+      return;
+    }
+    nlohmann::json body{{"first", page->first_kept}, {"end", page->end}};
+    body["records"] = nlohmann::json::array();
+    for (const LogEntry& entry : page->entries) {
+      body["records"].push_back({{"offset", entry.offset},
+                                 {"stamp_ms", entry.stamp.count()},
+                                 {"id", entry.record_id},
+                                 {"payload", absl::Base64Escape(entry.payload)}});
+    }
+    response->set_content(body.dump(), "application/json");
+  }
+
+  PlatformLog& log_;
+  PlatformInstances& instances_;
+  FaultSwitches faults_;
+};
+
+int Run(const SettingValues& values) {
+  const auto listen = ParseEndpoint(values.Text("listen"));
+  const auto rate = values.Integer("appends-per-second", 1, 100'000);
+  const auto keep = values.Integer("keep-records", 1, 10'000'000);
+  const auto lag = values.Period("list-lag", std::chrono::milliseconds(10), std::chrono::hours(1));
+  const auto reboot =
+      values.Period("reboot-time", std::chrono::milliseconds(1), std::chrono::hours(1));
+  for (const absl::Status& status :
+       {listen.status(), rate.status(), keep.status(), lag.status(), reboot.status()}) {
+    if (!status.ok()) {
+      std::cerr << "standin-platform: " << status.message() << "\n";
+      return 2;
+    }
+  }
+  PlatformLog log(static_cast<double>(*rate), static_cast<std::size_t>(*keep));
+  PlatformInstances instances(*reboot);
+  PlatformServer platform(&log, &instances);
+  httplib::Server server;
+  server.new_task_queue = [] { return new httplib::ThreadPool(kServerThreads); };
+  server.set_tcp_nodelay(true);
+  server.set_keep_alive_max_count(1'000'000'000);
+  platform.Route(&server);
+  if (!server.bind_to_port(listen->host, listen->port)) {
+    std::cerr << "standin-platform: cannot listen on " << listen->ToString() << "\n";
+    return 1;
+  }
+  std::thread serving([&] { server.listen_after_bind(); });
+  Instant refreshed{};
+  const SteadyClock clock;
+  while (!g_stop) {
+    std::this_thread::sleep_for(kSignalPoll);
+    if (clock.Now() - refreshed < *lag || platform.list_is_stale()) continue;
+    instances.Refresh();
+    refreshed = clock.Now();
+  }
+  server.stop();
+  serving.join();
+  return 0;
+}
+
+}  // namespace
+}  // namespace wigeonlane
+
+int main(int argc, char** argv) {
+  std::signal(SIGTERM, wigeonlane::OnSignal);
+  std::signal(SIGINT, wigeonlane::OnSignal);
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto parsed = wigeonlane::ParseCommandLine(argc, argv, wigeonlane::Options(),
+                                                   wigeonlane::kEnvironmentPrefix);
+  if (!parsed.ok()) {
+    std::cerr << "standin-platform: " << parsed.status().message() << "\n";
+    return 2;
+  }
+  if (parsed->values.Switch("help")) {
+    std::cout << "standin-platform: a small stand-in of the platform, for tests and trials\n\n"
+              << wigeonlane::OptionHelp(wigeonlane::Options(), wigeonlane::kEnvironmentPrefix);
+    return 0;
+  }
+  return wigeonlane::Run(parsed->values);
+}
