peer, load: entry instances as a group, an open-loop load tool and the main job

Cause: one entry instance alone could not show shares, take-over, outcomes told by another instance or a change in force everywhere.

Found on the way: the main job's drain never ended, because the stand-in runner's library waits a minute for idle connections before a reboot ends. The stand-in's idle timeout is now 3 s, and the entry's 1.5 s stays below it, since a reuse at the moment of the other side's close leaves an order's execution in doubt.

--- a/cli/wigeonlane_main.cc
+++ b/cli/wigeonlane_main.cc
@@ -4,6 +4,7 @@
 
 #include "cli/commands.h"
 #include "cli/exit_codes.h"
+#include "cli/load_command.h"
 #include "core/settings.h"
 
 namespace wigeonlane {
@@ -21,6 +22,7 @@
       {"replaces", "", "version that a published document replaces; the present one by default"},
       {"wait", "", "wait until what was accepted is in force on every listed instance", false,
        true},
+      {"svg", "", "file that a load run's plot is written to"},
       {"wait-limit", "17s", "longest wait for that, 10ms to 10m"},
   };
   return kOptions;
@@ -50,8 +52,12 @@
       return kExitUsage;
     }
   }
+  const bool json = values.Text("output") == "json";
+  if (!parsed->words.empty() && parsed->words.front() == "load") {
+    return RunLoadCommand(parsed->words, json, values.Text("svg"));
+  }
   return RunCommand({.client = AdminClient(*admins, *timeout),
-                     .json = values.Text("output") == "json",
+                     .json = json,
                      .record_id = values.Text("id"),
                      .replaces = values.Text("replaces"),
                      .wait = values.Switch("wait"),
--- a/daemon/node.cc
+++ b/daemon/node.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <utility>
 
+#include "core/codec.h"
 #include "core/logging.h"
 #include "core/text.h"
 
@@ -14,6 +15,10 @@
 constexpr std::chrono::milliseconds kSweepInterval{5};
 constexpr std::chrono::milliseconds kReconfigureInterval{50};
 constexpr std::chrono::milliseconds kDrainPoll{5};
+constexpr std::chrono::milliseconds kNoWait{0};
+constexpr std::chrono::milliseconds kResyncTimeout{250};
+constexpr std::size_t kResyncEntries = 10'000;
+constexpr std::size_t kSuffixBytes = 1024 * 1024;
 
 std::string NewIncarnation(const std::string& name) {
   std::random_device random;
@@ -29,8 +34,9 @@
       work_(asio::make_work_guard(context_)),
       sweep_timer_(context_),
       reconfigure_timer_(context_),
-      log_(settings_.platform, settings_.platform_timeout),
-      control_log_(settings_.platform, settings_.platform_timeout),
+      log_(settings_.platform, settings_.platform_timeout, NodeFollower::kReadWait),
+      control_log_(settings_.platform, settings_.platform_timeout, kNoWait),
+      resync_log_(settings_.platform, kResyncTimeout, kNoWait),
       follower_(&log_, clock_),
       control_(&control_log_, &follower_, clock_),
       instance_list_(settings_.platform, settings_.platform_timeout),
@@ -43,6 +49,12 @@
           {.author = incarnation_, .commit_pause = settings_.commit_pause}, clock_,
           [this](const std::vector<NewRecord>& records) { return log_.Append(records); },
           [this](std::function<void()> work) { asio::post(context_, std::move(work)); }, &metrics_),
+      peers_({.incarnation = incarnation_,
+              .name = settings_.name,
+              .data_centre = settings_.data_centre,
+              .listen = settings_.peer,
+              .seeds = settings_.seeds},
+             clock_, &context_, &metrics_),
       front_end_({.listen = settings_.listen,
                   .request_id_prefix = incarnation_,
                   .most_connections = settings_.most_connections},
@@ -77,10 +89,12 @@
                              });
                            },
                        .ask_author =
-                           [](const std::string&, const Digest&, Instant,
-                              std::function<void(std::optional<CallerAnswer>)> callback) {
-                             callback(std::nullopt);
-                           }});
+                           [this](const std::string& author, const Digest& key, Instant deadline,
+                                  std::function<void(std::optional<CallerAnswer>)> callback) {
+                             peers_.AskOutcome(author, key, deadline, std::move(callback));
+                           },
+                       .resync = [this] { Resync(); }});
+  if (absl::Status status = peers_.Start(PeerHooks()); !status.ok()) return status;
   if (absl::Status status = admin_.Start(); !status.ok()) return status;
   if (absl::Status status = front_end_.Start(); !status.ok()) return status;
   follower_.Start(
@@ -88,7 +102,9 @@
                                 const ClaimTable& claims) { desk_.OnFolded(batch, claims); },
        .on_route_view =
            [this](std::shared_ptr<const RouteView> view) { OnRouteView(std::move(view)); }});
-  planner_.Start({.members = [this] { return Progress(); }, .on_list = nullptr});
+  planner_.Start(
+      {.members = [this] { return peers_.Progress(); },
+       .on_list = [this](const std::vector<ListedInstance>& listed) { peers_.OnList(listed); }});
   ScheduleSweep();
   ScheduleReconfigure();
   for (std::size_t i = 0; i < settings_.io_threads; ++i) {
@@ -100,11 +116,57 @@
   return absl::OkStatus();
 }
 
-std::vector<MemberProgress> Node::Progress() const {
-  return {{incarnation_, follower_.next_offset(), dispatcher_.InFlight()}};
+PeerGroup::Hooks Node::PeerHooks() {
+  return {
+      .demand = [this] { return dispatcher_.ReportedDemand(); },
+      .draining_in_flight = [this] { return DrainingInFlight(); },
+      .next_offset = [this] { return follower_.next_offset(); },
+      .has_state = [this] { return follower_.has_state(); },
+      .log_is_silent = [this] { return follower_.is_silent(); },
+      .recent_entries = [this](Offset from) { return follower_.RecentEntries(from, kSuffixBytes); },
+      .encoded_state =
+          [this] {
+            return follower_.WithState([](const FleetState& state) { return Encode(state); });
+          },
+      .apply_entries =
+          [this](const std::vector<LogEntry>& entries) { follower_.ApplyFromPeer(entries); },
+      .adopt_state = [this](FleetState state) { follower_.AdoptFromPeer(std::move(state)); },
+      .outcome = [this](const Digest& key, bool* in_flight) -> std::optional<CallerAnswer> {
+        const auto known = desk_.KnownOutcome(key, in_flight);
+        if (!known.has_value()) return std::nullopt;
+        return **known;
+      }};
+}
+
+std::map<std::string, std::uint32_t> Node::DrainingInFlight() const {
+  const auto view = View();
+  std::map<std::string, std::uint32_t> busy;
+  if (view == nullptr || view->draining.empty()) return busy;
+  const auto all = dispatcher_.InFlight();
+  for (const std::string& instance : view->draining) {
+    if (const auto found = all.find(instance); found != all.end()) busy.insert(*found);
+  }
+  return busy;
 }
 
-bool Node::ready() const { return !leaving_ && follower_.has_state(); }
+void Node::Resync() {
+  const Instant asked = clock_.Now();
+  const std::lock_guard lock(resync_mutex_);
+  if (resynced_ > asked) return;
+  const auto page = resync_log_.Read(follower_.next_offset(), kResyncEntries, kNoWait);
+  if (page.ok()) follower_.ApplyFromPeer(page->entries);
+  Reconfigure();
+  resynced_ = clock_.Now();
+  LogInfo("resync-after-pause", {{"next_offset", std::to_string(follower_.next_offset())},
+                                 {"log", page.ok() ? "answered" : "silent"}});
+}
+
+std::shared_ptr<const RouteView> Node::View() const {
+  const std::lock_guard lock(view_mutex_);
+  return view_;
+}
+
+bool Node::ready() const { return !leaving_ && follower_.has_state() && peers_.settled(); }
 
 void Node::OnRouteView(std::shared_ptr<const RouteView> view) {
   {
@@ -115,13 +177,9 @@
 }
 
 void Node::Reconfigure() {
-  std::shared_ptr<const RouteView> view;
-  {
-    const std::lock_guard lock(view_mutex_);
-    view = view_;
-  }
+  const auto view = View();
   if (view == nullptr) return;
-  const std::vector<MemberDemand> members = {{incarnation_, dispatcher_.ReportedDemand()}};
+  const auto members = peers_.Demands(dispatcher_.ReportedDemand());
   dispatcher_.Configure(*view, ComputeAllotments(*view, members, incarnation_));
 }
 
@@ -156,6 +214,7 @@
   status["log_end"] = follower_.log_end();
   status["log_silent_ms"] =
       std::chrono::duration_cast<std::chrono::milliseconds>(follower_.since_log_answered()).count();
+  status["members"] = peers_.others() + 1;
   status["open_requests"] = dispatcher_.open_calls();
   status["services"] = nlohmann::ordered_json::array();
   for (const auto& [name, lane] : dispatcher_.Lanes()) {
@@ -176,6 +235,7 @@
 std::uint64_t Node::Shutdown(const std::atomic<bool>& give_up) {
   if (stopped_.exchange(true)) return 0;
   leaving_ = true;
+  peers_.AnnounceLeaving();
   front_end_.StopAccepting();
   const Instant until = clock_.Now() + settings_.shutdown_wait;
   while (dispatcher_.open_calls() > 0 && !give_up && clock_.Now() < until) {
@@ -187,9 +247,11 @@
     sweep_timer_.cancel();
     reconfigure_timer_.cancel();
   });
+  peers_.Stop();
   admin_.Stop();
   log_.Cancel();
   control_log_.Cancel();
+  resync_log_.Cancel();
   instance_list_.Cancel();
   planner_.Stop();
   follower_.Stop();
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -22,6 +22,7 @@
 #include "entry/dispatcher.h"
 #include "entry/front_end.h"
 #include "entry/order_desk.h"
+#include "entry/peer_group.h"
 #include "entry/runner_client.h"
 
 namespace wigeonlane {
@@ -46,9 +47,12 @@
  private:
   void OnRouteView(std::shared_ptr<const RouteView> view);
   void Reconfigure();
+  void Resync();
   void ScheduleSweep();
   void ScheduleReconfigure();
-  std::vector<MemberProgress> Progress() const;
+  PeerGroup::Hooks PeerHooks();
+  std::map<std::string, std::uint32_t> DrainingInFlight() const;
+  std::shared_ptr<const RouteView> View() const;
   std::string StatusJson() const;
   void RefreshMetrics();
 
@@ -62,6 +66,9 @@
   asio::steady_timer reconfigure_timer_;
   HttpLogService log_;
   HttpLogService control_log_;
+  HttpLogService resync_log_;
+  std::mutex resync_mutex_;
+  Instant resynced_{};
   NodeFollower follower_;
   NodeControl control_;
   HttpInstanceList instance_list_;
@@ -70,6 +77,7 @@
   ThreadPool send_threads_;
   Dispatcher dispatcher_;
   OrderDesk desk_;
+  PeerGroup peers_;
   FrontEnd front_end_;
   AdminApi admin_;
   std::vector<std::thread> io_threads_;
--- a/entry/dispatcher.cc
+++ b/entry/dispatcher.cc
@@ -11,6 +11,8 @@
 constexpr std::size_t kMostAttempts = 3;
 /// An order is refused at once while the log has been failing for longer than this.
 constexpr Duration kLogFailureTolerated = std::chrono::milliseconds(500);
+/// A gap between two sweeps that means that this process was paused.
+constexpr Duration kPauseNoticed = std::chrono::milliseconds(700);
 constexpr std::chrono::milliseconds kLogRetryAfter{2'000};
 constexpr std::chrono::milliseconds kRunnerRetryAfter{500};
 
@@ -105,7 +107,16 @@
   for (const RefusedCall& refused : change.refused) Refuse(refused);
 }
 
+void Dispatcher::CatchUpAfterPause() {
+  // Sweeps come every few milliseconds: a long gap means that the process itself stood still, and
+  // that instances may have begun to leave meanwhile.
+  const Instant swept = swept_;
+  if (swept == Instant::max() || clock_.Now() - swept < kPauseNoticed) return;
+  wiring_.resync();
+}
+
 void Dispatcher::Run(const CallPtr& call) {
+  CatchUpAfterPause();
   CallerAnswer answer = SendWithRetries(*call);
   const LaneChange change = call->lane->FinishCall(*call);
   Answer(call, std::move(answer));
@@ -204,6 +215,8 @@
 }
 
 void Dispatcher::Sweep() {
+  CatchUpAfterPause();
+  swept_ = clock_.Now();
   for (const auto& [name, lane] : Lanes()) Carry(lane->Sweep());
   if (wiring_.desk != nullptr) wiring_.desk->GiveUpLate();
 }
--- a/entry/dispatcher.h
+++ b/entry/dispatcher.h
@@ -43,6 +43,8 @@
     OrderDesk* desk = nullptr;
     BeginOrder begin_order;
     AskAuthor ask_author;
+    /// Catches up with the log after this process was paused; bounded in time.
+    std::function<void()> resync;
   };
 
   Dispatcher(const SteadyClock& clock, RunnerClient* runners, ThreadPool* threads,
@@ -83,6 +85,7 @@
   void Admit(const CallPtr& call);
   void Carry(const LaneChange& change);
   void Run(const CallPtr& call);
+  void CatchUpAfterPause();
   CallerAnswer SendWithRetries(const Call& call);
   bool MayRetry(const Call& call, const AttemptResult& result, const ExecutionTrace& trace,
                 std::size_t attempts) const;
@@ -97,6 +100,7 @@
   Wiring wiring_;
   std::atomic<std::uint64_t> next_id_{0};
   std::atomic<std::uint64_t> open_calls_{0};
+  std::atomic<Instant> swept_{Instant::max()};
   mutable std::shared_mutex lanes_mutex_;
   std::map<std::string, std::shared_ptr<ServiceLane>> lanes_;
 };
--- a/entry/log_follower.h
+++ b/entry/log_follower.h
@@ -41,6 +41,9 @@
 template <LogService Log, RuntimeClock ClockT>
 class LogFollower {
  public:
+  /// How long one read of the log waits for new records.
+  static constexpr std::chrono::milliseconds kReadWait{5'000};
+
   LogFollower(Log* log, const ClockT& clock) : log_(*log), clock_(clock) {}
   ~LogFollower() { Stop(); }
   LogFollower(const LogFollower&) = delete;
@@ -82,15 +85,18 @@
   /// Whether the state is fit to serve callers: it once reached the log's end, or came from a peer.
   bool has_state() const { return has_state_; }
 
+  /// Whether the log gave no answer for longer than a healthy read takes.
+  bool is_silent() const { return since_log_answered() > kReadWait + kSilence || failing_; }
+
   /// Time since the log last answered a read; counts from the start before the first.
   Duration since_log_answered() const { return clock_.Now() - log_answered_.load(); }
 
  private:
   static constexpr std::size_t kEntriesInRead = 2000;
-  static constexpr std::chrono::milliseconds kReadWait{5'000};
   static constexpr std::chrono::milliseconds kFirstPause{20};
   static constexpr std::chrono::milliseconds kLongestPause{500};
   static constexpr std::size_t kRecentEntries = 20'000;
+  static constexpr Duration kSilence = std::chrono::milliseconds(500);
 
   void Run();
   absl::Status ReadOnce();
@@ -110,6 +116,7 @@
   std::atomic<Offset> first_kept_{0};
   std::atomic<Offset> log_end_{0};
   std::atomic<bool> has_state_{false};
+  std::atomic<bool> failing_{false};
   std::atomic<Instant> log_answered_{Instant{}};
   std::mutex stop_mutex_;
   std::condition_variable stop_wake_;
@@ -143,6 +150,7 @@
       if (stopping_) return;
     }
     const absl::Status status = ReadOnce();
+    failing_ = !status.ok();
     if (status.ok()) {
       pause = kFirstPause;
       continue;
--- a/entry/planner_loop.h
+++ b/entry/planner_loop.h
@@ -69,6 +69,7 @@
  private:
   static constexpr std::chrono::milliseconds kInterval{200};
   static constexpr Duration kListInterval = std::chrono::milliseconds(500);
+  static constexpr Duration kAskRebootAgain = std::chrono::seconds(2);
   /// A record that was not folded after this long is written again.
   static constexpr Duration kWriteAgain = std::chrono::seconds(2);
 
@@ -88,7 +89,8 @@
   Sources sources_;
   std::vector<ListedInstance> listed_;
   Instant list_fetched_{};
-  std::map<std::string, Instant> written_;  ///< By encoded record, when it was last written.
+  std::map<std::string, Instant> written_;       ///< By encoded record, when it was last written.
+  std::map<std::string, Instant> reboot_asked_;  ///< By instance.
   std::uint64_t records_written_ = 0;
   std::mutex mutex_;
   std::condition_variable wake_;
@@ -117,6 +119,9 @@
   });
   Write(plan);
   for (const std::string& name : plan.reboots) {
+    Instant& asked = reboot_asked_[name];
+    if (clock_.Now() - asked < kAskRebootAgain) continue;
+    asked = clock_.Now();
     const absl::Status status = list_.Reboot(name);
     LogDecision("reboot", {{"instance", name},
                            {"why", "drained and at its planner's epoch"},
--- a/entry/runner_client.cc
+++ b/entry/runner_client.cc
@@ -14,7 +14,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLongestConnect{1'000};
-constexpr Duration kLongestIdle = std::chrono::seconds(3);
+/// Shorter than the idle timeouts of backend servers, so that a request seldom meets a connection
+/// that the other side closes at that moment, which would leave its execution in doubt.
+constexpr Duration kLongestIdle = std::chrono::milliseconds(1'500);
 constexpr std::size_t kLargestAnswer = 64 * 1024 * 1024;
 
 constexpr std::array<std::string_view, 9> kHopHeaders = {
--- a/standin/backend_main.cc
+++ b/standin/backend_main.cc
@@ -24,6 +24,8 @@
 constexpr std::string_view kEnvironmentPrefix = "WIGEONLANE_STANDIN_";
 constexpr std::chrono::milliseconds kPoll{5};
 constexpr std::chrono::milliseconds kPlatformTimeout{1'000};
+/// A reboot ends only after idle connections timed out, since the library waits for them.
+constexpr std::chrono::seconds kIdleTimeout{3};
 constexpr std::ptrdiff_t kMostSlots = 4096;
 
 const std::vector<OptionSpec>& Options() {
@@ -230,7 +232,7 @@
     server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     server.set_tcp_nodelay(true);
     server.set_keep_alive_max_count(1'000'000'000);
-    server.set_keep_alive_timeout(60);
+    server.set_keep_alive_timeout(kIdleTimeout.count());
     const auto serve = [this](const httplib::Request& request, httplib::Response& response) {
       runner_.Serve(request, &response);
     };
