--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -151,7 +151,7 @@
   const bool unknown = execution != Execution::kNotRun;
   return ReportFate(context, {{"fate", unknown ? "unknown" : "not-run"},
                               {"record_id", id},
-                              {"reason", std::string(answer.status().message())}});
+                              {"reason", MessageOf(answer.status())}});
 }
 
 int PublishText(const CommandContext& context, const std::string& kind, const std::string& text) {
@@ -179,7 +179,7 @@
   if (!answer.ok() || !answer->body.contains("versions")) {
     std::cerr << "wigeonlane: "
               << (answer.ok() ? CellText(answer->body.value("reason", Json("no answer")))
-                              : std::string(answer.status().message()))
+                              : MessageOf(answer.status()))
               << "\n";
     return std::nullopt;
   }
--- a/core/text.h
+++ b/core/text.h
@@ -38,9 +38,9 @@
   absl::StrAppend(out, internal::Piece(parts)...);
 }
 
-/// The message of a status as a standard view.
+/// The message of a status.
 template <typename StatusType>
-std::string_view MessageOf(const StatusType& status) {
+std::string MessageOf(const StatusType& status) {
   return {status.message().data(), status.message().size()};
 }
 
--- a/daemon/admin_api.cc
+++ b/daemon/admin_api.cc
@@ -55,7 +55,8 @@
           {"runner", instance.runner.ToString()},
           {"lifecycle", ToString(instance.lifecycle)},
           {"generation", instance.generation},
-          {"planned_out", instance.planned_out}};
+          {"planned_out", instance.planned_out},
+          {"maintained", instance.maintained}};
 }
 
 Json DocumentJson(const VersionedDocument& published) {
--- a/daemon/wigeonlaned_main.cc
+++ b/daemon/wigeonlaned_main.cc
@@ -6,6 +6,7 @@
 #include <thread>
 
 #include "core/logging.h"
+#include "core/text.h"
 #include "daemon/node.h"
 #include "daemon/node_settings.h"
 
@@ -36,7 +37,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   const auto parsed =
       wigeonlane::ParseCommandLine(argc, argv, NodeOptions(), wigeonlane::kNodeEnvironmentPrefix);
-  if (!parsed.ok()) return Fail(kExitUsage, std::string(parsed.status().message()));
+  if (!parsed.ok()) return Fail(kExitUsage, wigeonlane::MessageOf(parsed.status()));
   if (parsed->values.Switch("help")) {
     std::cout << "wigeonlaned: an entry instance of wigeonlane\n\nOptions:\n"
               << wigeonlane::OptionHelp(NodeOptions(), wigeonlane::kNodeEnvironmentPrefix);
@@ -46,7 +47,7 @@
     return Fail(kExitUsage, "unexpected word '" + parsed->words.front() + "'; allowed: options");
   }
   auto settings = wigeonlane::ParseNodeSettings(parsed->values);
-  if (!settings.ok()) return Fail(kExitUsage, std::string(settings.status().message()));
+  if (!settings.ok()) return Fail(kExitUsage, wigeonlane::MessageOf(settings.status()));
   if (parsed->values.Switch("check-settings")) {
     for (const auto& option : NodeOptions()) {
       if (!option.is_switch) {
@@ -56,13 +57,13 @@
     return 0;
   }
   if (absl::Status status = wigeonlane::StartLogging(settings->log); !status.ok()) {
-    return Fail(kExitUsage, std::string(status.message()));
+    return Fail(kExitUsage, wigeonlane::MessageOf(status));
   }
   std::uint64_t cut_off = 0;
   {
     wigeonlane::Node node(*std::move(settings));
     if (absl::Status status = node.Start(); !status.ok()) {
-      return Fail(kExitFailure, std::string(status.message()));
+      return Fail(kExitFailure, wigeonlane::MessageOf(status));
     }
     while (g_signals == 0) std::this_thread::sleep_for(kSignalPoll);
     cut_off = node.Shutdown(g_give_up);
--- a/entry/control_desk.h
+++ b/entry/control_desk.h
@@ -9,6 +9,7 @@
 #include <thread>
 
 #include "core/clock.h"
+#include "core/text.h"
 #include "core/verdict.h"
 #include "entry/log_follower.h"
 #include "fleet/record.h"
@@ -72,7 +73,7 @@
     if (const auto settled = Settled(record_id)) return *settled;
     const AppendOutcome outcome = log_.Append({{record_id, payload}});
     if (outcome.execution != Execution::kNotRun) may_be_on_log = true;
-    if (!outcome.status.ok()) trouble = std::string(outcome.status.message());
+    if (!outcome.status.ok()) trouble = MessageOf(outcome.status);
     // An error that left nothing on the log is told at once; the operator decides to ask again.
     if (!may_be_on_log) return {RecordFate::kNotRun, 0, trouble};
     if (const auto settled = WaitSettled(record_id, std::min(deadline, clock_.Now() + kFoldWait))) {
--- a/entry/front_end.cc
+++ b/entry/front_end.cc
@@ -250,15 +250,15 @@
     if (!owner_->handlers_.ready()) {
       CallerAnswer answer = NotRun(503, "this entry instance is not ready");
       answer.headers.emplace_back(header::kRetryAfter, "1");
-      return Write(std::move(answer));
+      return Write(answer);
     }
     if (Standard(message.target()) == kReadyPath) return Write(Plain("ready\n"));
     auto self = this->shared_from_this();
     std::string id = request_.request_id;
     owner_->handlers_.serve(std::move(request_), [self, id](CallerAnswer answer) {
-      asio::post(self->socket_.get_executor(), [self, id, answer = std::move(answer)]() mutable {
+      asio::post(self->socket_.get_executor(), [self, id, answer = std::move(answer)] {
         self->request_.request_id = id;
-        self->Write(std::move(answer));
+        self->Write(answer);
       });
     });
   }
@@ -267,7 +267,7 @@
     return {text.data(), text.size()};
   }
 
-  void Write(CallerAnswer answer) {
+  void Write(const CallerAnswer& answer) {
     out_ = FormatAnswer(answer, request_.request_id, head_, keep_alive_);
     SetTimer(owner_->options_.read_timeout);
     asio::async_write(socket_, asio::buffer(out_),
--- a/entry/log_follower.h
+++ b/entry/log_follower.h
@@ -155,8 +155,9 @@
       pause = kFirstPause;
       continue;
     }
-    if (pause == kFirstPause)
-      LogWarning("log-unreachable", {{"why", std::string(status.message())}});
+    if (pause == kFirstPause) {
+      LogWarning("log-unreachable", {{"why", MessageOf(status)}});
+    }
     Pause(pause);
     pause = std::min(pause * 2, kLongestPause);
   }
@@ -249,8 +250,8 @@
   if (state_.config_offset() != config_before || first_config) *config_changed = true;
   const absl::StatusOr<Record> record = DecodeRecord(entry.payload);
   if (!record.ok()) {
-    LogWarning("record-unreadable", {{"offset", std::to_string(entry.offset)},
-                                     {"why", std::string(record.status().message())}});
+    LogWarning("record-unreadable",
+               {{"offset", std::to_string(entry.offset)}, {"why", MessageOf(record.status())}});
     return;
   }
   if (const auto* batch = std::get_if<OrderBatch>(&*record)) {
@@ -261,7 +262,7 @@
                        {"type", std::string(TypeOf(*record))},
                        {"record", entry.record_id},
                        {"accepted", outcome.ok() ? "yes" : "no"},
-                       {"why", outcome.ok() ? "rules hold" : std::string(outcome.message())}});
+                       {"why", outcome.ok() ? "rules hold" : MessageOf(outcome)}});
 }
 
 template <LogService Log, RuntimeClock ClockT>
--- a/entry/order_desk.cc
+++ b/entry/order_desk.cc
@@ -59,7 +59,7 @@
   Post(std::move(callbacks));
 }
 
-void OrderDesk::Finish(const Digest& key, bool proven_not_run, KeptAnswer answer) {
+void OrderDesk::Finish(const Digest& key, bool proven_not_run, const KeptAnswer& answer) {
   Callbacks callbacks;
   {
     const std::lock_guard lock(mutex_);
--- a/entry/order_desk.h
+++ b/entry/order_desk.h
@@ -58,7 +58,7 @@
   void OnFolded(const OrderBatch& batch, const ClaimTable& claims);
 
   /// Ends an order that was told to run.
-  void Finish(const Digest& key, bool proven_not_run, KeptAnswer answer);
+  void Finish(const Digest& key, bool proven_not_run, const KeptAnswer& answer);
 
   /// Ends waiting orders whose deadline passed. Their callbacks get `kOverloaded` when the order
   /// was never sent and `kMayHaveRun` when another caller's attempt may still run.
--- a/entry/peer_group.cc
+++ b/entry/peer_group.cc
@@ -152,6 +152,7 @@
   }
   by_name[options_.incarnation] = {options_.incarnation, own};
   std::vector<MemberDemand> demands;
+  demands.reserve(by_name.size());
   for (auto& [incarnation, demand] : by_name) demands.push_back(std::move(demand));
   return demands;
 }
--- a/entry/planner_loop.h
+++ b/entry/planner_loop.h
@@ -125,7 +125,7 @@
     const absl::Status status = list_.Reboot(name);
     LogDecision("reboot", {{"instance", name},
                            {"why", "drained and at its planner's epoch"},
-                           {"asked", status.ok() ? "yes" : std::string(status.message())}});
+                           {"asked", status.ok() ? "yes" : MessageOf(status)}});
   }
   WriteSnapshotIfDue();
 }
@@ -157,7 +157,7 @@
   if (records.empty()) return;
   const AppendOutcome outcome = log_.Append(records);
   if (!outcome.status.ok()) {
-    LogWarning("plan-not-written", {{"why", std::string(outcome.status.message())}});
+    LogWarning("plan-not-written", {{"why", MessageOf(outcome.status)}});
   }
 }
 
--- a/fleet/state.cc
+++ b/fleet/state.cc
@@ -56,7 +56,7 @@
     const RecordOutcome& outcome = earlier->second;
     return outcome.accepted ? absl::OkStatus() : absl::FailedPreconditionError(outcome.reason);
   }
-  const absl::Status outcome = ApplyRecord(*record);
+  absl::Status outcome = ApplyRecord(*record);
   if (!IsSettledElsewhere(*record)) {
     Remember(entry.record_id, outcome);
     if (outcome.ok()) config_offset_ = entry.offset;
@@ -277,7 +277,7 @@
 }
 
 void FleetState::Remember(const std::string& record_id, const absl::Status& outcome) {
-  outcomes_[record_id] = {record_id, next_offset_, outcome.ok(), std::string(outcome.message())};
+  outcomes_[record_id] = {record_id, next_offset_, outcome.ok(), MessageOf(outcome)};
   outcome_ages_.push_back(record_id);
   if (outcome_ages_.size() <= kKeptOutcomes) return;
   outcomes_.erase(outcome_ages_.front());
--- a/fleet/state.h
+++ b/fleet/state.h
@@ -162,7 +162,7 @@
 
 template <typename T>
 const T* FleetState::Find(const std::string& name) const {
-  const auto found = documents_.find({std::string(KindOf(Document(T()))), name});
+  const auto found = documents_.find({std::string(KindOf(Document(T{}))), name});
   return found == documents_.end() ? nullptr : std::get_if<T>(&found->second.document);
 }
 
--- a/load/load_report.cc
+++ b/load/load_report.cc
@@ -69,7 +69,7 @@
 
 }  // namespace
 
-std::vector<StreamReport> Summarize(const LoadPlan& plan, std::vector<LoadSample> samples) {
+std::vector<StreamReport> Summarize(const LoadPlan& plan, const std::vector<LoadSample>& samples) {
   std::vector<StreamReport> reports(plan.streams.size());
   std::vector<std::vector<microseconds>> ran(plan.streams.size());
   std::vector<std::vector<microseconds>> refused(plan.streams.size());
--- a/load/load_report.h
+++ b/load/load_report.h
@@ -47,7 +47,7 @@
   OrderAuditResult orders;
 };
 
-std::vector<StreamReport> Summarize(const LoadPlan& plan, std::vector<LoadSample> samples);
+std::vector<StreamReport> Summarize(const LoadPlan& plan, const std::vector<LoadSample>& samples);
 
 std::string ToTable(const LoadReport& report);
 std::string ToJson(const LoadReport& report);
--- a/load/load_runner.cc
+++ b/load/load_runner.cc
@@ -70,7 +70,7 @@
       }
     }
     LoadReport report;
-    report.streams = Summarize(plan_, std::move(samples_));
+    report.streams = Summarize(plan_, samples_);
     report.orders = audit_.Compare(plan_.ledgers);
     return report;
   }
--- a/peer/peer_link.cc
+++ b/peer/peer_link.cc
@@ -40,7 +40,7 @@
 /// One TCP exchange of a frame each way, on either side, bounded in time.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  using FrameCallback = std::function<void(std::error_code, std::string)>;
+  using FrameCallback = std::function<void(std::error_code, const std::string&)>;
 
   explicit Exchange(tcp::socket socket)
       : socket_(std::move(socket)), timer_(socket_.get_executor()) {}
@@ -65,7 +65,7 @@
                        asio::async_read(self->socket_, asio::buffer(self->in_),
                                         [self, callback = std::move(callback)](
                                             std::error_code body_error, std::size_t) {
-                                          callback(body_error, std::move(self->in_));
+                                          callback(body_error, self->in_);
                                         });
                      });
   }
@@ -175,14 +175,15 @@
     exchange->Write(std::move(frame), [self = shared_from_this(), exchange,
                                        callback = std::move(callback)](std::error_code error) {
       if (error) return callback(absl::UnavailableError(error.message()));
-      exchange->Read(kLargestFrame,
-                     [self, exchange, callback](std::error_code read_error, std::string answer) {
-                       exchange->Close();
-                       if (read_error)
-                         return callback(absl::UnavailableError(read_error.message()));
-                       self->received_bytes_ += answer.size();
-                       callback(DecodeResponse(answer));
-                     });
+      exchange->Read(kLargestFrame, [self, exchange, callback](std::error_code read_error,
+                                                               const std::string& answer) {
+        exchange->Close();
+        if (read_error) {
+          return callback(absl::UnavailableError(read_error.message()));
+        }
+        self->received_bytes_ += answer.size();
+        callback(DecodeResponse(answer));
+      });
     });
   }
 
@@ -221,8 +222,8 @@
   void Serve(const std::shared_ptr<Exchange>& exchange) {
     ++serving_;
     exchange->Limit(kServeTimeout);
-    exchange->Read(kLargestQuestion, [self = shared_from_this(), exchange](std::error_code error,
-                                                                           std::string question) {
+    exchange->Read(kLargestQuestion, [self = shared_from_this(), exchange](
+                                         std::error_code error, const std::string& question) {
       --self->serving_;
       if (error) return exchange->Close();
       const auto request = DecodeRequest(question);
--- a/policy/shares.cc
+++ b/policy/shares.cc
@@ -32,6 +32,7 @@
 std::vector<std::uint32_t> DivideByDemand(std::uint32_t capacity,
                                           const std::vector<ShareClaim>& claims) {
   std::vector<std::uint32_t> wants;
+  wants.reserve(claims.size());
   for (const ShareClaim& claim : claims) wants.push_back(std::min(claim.guaranteed, claim.limit));
   std::vector<std::uint32_t> shares = MaxMin(capacity, wants);
   const std::uint32_t used = std::accumulate(shares.begin(), shares.end(), 0U);
@@ -48,6 +49,7 @@
                                               const std::vector<std::uint32_t>& demands) {
   if (demands.empty()) return {};
   std::vector<ShareClaim> claims;
+  claims.reserve(demands.size());
   for (const std::uint32_t demand : demands) claims.push_back({demand, 1, capacity});
   std::vector<std::uint32_t> shares = DivideByDemand(capacity, claims);
   const std::uint32_t left = capacity - std::accumulate(shares.begin(), shares.end(), 0U);
--- a/standin/backend_main.cc
+++ b/standin/backend_main.cc
@@ -214,7 +214,7 @@
     control_.Post("/faults", [this](const auto& request, auto& response) {
       const absl::Status status = runner_.faults().SetFromJson(request.body);
       response.status = status.ok() ? 200 : 400;
-      response.set_content(std::string(status.message()), "text/plain");
+      response.set_content(MessageOf(status), "text/plain");
     });
     control_.Get("/ledger", [this](const auto&, auto& response) {
       response.set_content(runner_.ledger().ToJson(), "application/json");
