orders: a budget of appends for each entry instance; wider listen backlogs

Cause: six entry instances that commit claims as fast as they can ask the log for more than the 400 appends a second that it takes. Refused appends were retried in a storm, which starved orders and operators alike. Ruled out: batch size (batches were small, 5 claims) and the fold (idle). Change: a token bucket for claims, 300 appends a second over all live instances; claims that wait for a token join the batch. A log that says 'too many' is asked again until the record's wait ends, where an outage is still told at once.

Cause of one start that never had all runners serving (1 of about 30 starts): cpp-httplib listens with a backlog of 5; in a burst the kernel drops handshakes, the stand-in runner's registration timed out and was not repeated. The server wrapper widens the backlog to 1024 and the runner registers until it is taken.

Also: the first read of a start does not wait for new records (a start on an idle log took 5 s); closed-loop callers in the load tool, for the cost of one request at a time.

--- a/daemon/admin_api.cc
+++ b/daemon/admin_api.cc
@@ -1,7 +1,5 @@
 #include "daemon/admin_api.h"
 
-#include <httplib.h>
-
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
@@ -9,6 +7,7 @@
 
 #include "core/digest.h"
 #include "core/document.h"
+#include "core/http_server.h"
 #include "core/text.h"
 #include "entry/caller_request.h"
 #include "fleet/document.h"
@@ -84,7 +83,7 @@
   }
 
   absl::Status Start() {
-    if (!server_.bind_to_port(listen_.host, listen_.port)) {
+    if (!server_.Bind(listen_)) {
       return absl::UnavailableError(Concat("cannot listen on ", listen_.ToString()));
     }
     thread_ = std::thread([this] { server_.listen_after_bind(); });
@@ -285,7 +284,7 @@
 
   const Endpoint listen_;
   const Sources sources_;
-  httplib::Server server_;
+  HttpServer server_;
   std::thread thread_;
 };
 
--- a/daemon/node.cc
+++ b/daemon/node.cc
@@ -46,8 +46,9 @@
       send_threads_(settings_.send_threads),
       dispatcher_(clock_, &runners_, &send_threads_, &metrics_),
       desk_(
-          {.author = incarnation_, .commit_pause = settings_.commit_pause}, clock_,
-          [this](const std::vector<NewRecord>& records) { return log_.Append(records); },
+          {.author = incarnation_, .appends_per_second = settings_.order_appends_per_second},
+          clock_, [this](const std::vector<NewRecord>& records) { return log_.Append(records); },
+          [this] { return peers_.others() + 1; },
           [this](std::function<void()> work) { asio::post(context_, std::move(work)); }, &metrics_),
       peers_({.incarnation = incarnation_,
               .name = settings_.name,
--- a/daemon/node_settings.cc
+++ b/daemon/node_settings.cc
@@ -45,7 +45,8 @@
       {"io-threads", "2", "threads for callers' and peers' connections, 1 to 64"},
       {"send-threads", "512", "most requests on runners at once, 1 to 8192"},
       {"most-connections", "4096", "most callers' connections, 1 to 100000"},
-      {"commit-pause", "0ms", "pause between order batches, to group more, 0ms to 1s"},
+      {"order-appends", "300",
+       "appends a second that order claims of all entry instances together may take, 1 to 100000"},
       {"platform-timeout", "2s", "longest wait for one answer of the platform, 10ms to 60s"},
       {"shutdown-wait", "30s", "longest wait for requests in flight after SIGTERM, 0ms to 1h"},
       {"snapshot-every", "20000", "records between snapshots on the log, 10 to 10000000"},
@@ -65,7 +66,7 @@
   const auto io_threads = values.Integer("io-threads", 1, 64);
   const auto send_threads = values.Integer("send-threads", 1, 8192);
   const auto connections = values.Integer("most-connections", 1, 100'000);
-  const auto commit_pause = values.Period("commit-pause", milliseconds(0), milliseconds(1'000));
+  const auto order_appends = values.Integer("order-appends", 1, 100'000);
   const auto platform_timeout =
       values.Period("platform-timeout", milliseconds(10), milliseconds(60'000));
   const auto shutdown_wait =
@@ -73,7 +74,7 @@
   const auto snapshot_every = values.Integer("snapshot-every", 10, 10'000'000);
   for (const absl::Status& status :
        {listen.status(), admin.status(), peer.status(), platform.status(), seeds.status(),
-        io_threads.status(), send_threads.status(), connections.status(), commit_pause.status(),
+        io_threads.status(), send_threads.status(), connections.status(), order_appends.status(),
         platform_timeout.status(), shutdown_wait.status(), snapshot_every.status(),
         OneOf(values, "log-level", {"trace", "debug", "info", "warn", "error", "off"}),
         OneOf(values, "log-format", {"kv", "json"}),
@@ -92,7 +93,7 @@
   settings.io_threads = static_cast<std::size_t>(*io_threads);
   settings.send_threads = static_cast<std::size_t>(*send_threads);
   settings.most_connections = static_cast<std::size_t>(*connections);
-  settings.commit_pause = *commit_pause;
+  settings.order_appends_per_second = static_cast<double>(*order_appends);
   settings.platform_timeout = *platform_timeout;
   settings.shutdown_wait = *shutdown_wait;
   settings.snapshot_every = static_cast<std::uint64_t>(*snapshot_every);
--- a/entry/control_desk.h
+++ b/entry/control_desk.h
@@ -75,12 +75,18 @@
     if (outcome.execution != Execution::kNotRun) may_be_on_log = true;
     if (!outcome.status.ok()) trouble = MessageOf(outcome.status);
     // An error that left nothing on the log is told at once; the operator decides to ask again.
-    if (!may_be_on_log) return {RecordFate::kNotRun, 0, trouble};
+    const bool busy = absl::IsResourceExhausted(outcome.status);
+    if (!may_be_on_log && !busy) return {RecordFate::kNotRun, 0, trouble};
+    if (busy && !may_be_on_log) {
+      std::this_thread::sleep_for(kRetryPause);
+      continue;
+    }
     if (const auto settled = WaitSettled(record_id, std::min(deadline, clock_.Now() + kFoldWait))) {
       return *settled;
     }
     std::this_thread::sleep_for(kRetryPause);
   } while (clock_.Now() < deadline);
+  if (!may_be_on_log) return {RecordFate::kNotRun, 0, trouble};
   return {RecordFate::kUnknown, 0, trouble.empty() ? "not folded back in time" : trouble};
 }
 
--- a/entry/log_follower.h
+++ b/entry/log_follower.h
@@ -93,6 +93,7 @@
 
  private:
   static constexpr std::size_t kEntriesInRead = 2000;
+  static constexpr std::chrono::milliseconds kNoWait{0};
   static constexpr std::chrono::milliseconds kFirstPause{20};
   static constexpr std::chrono::milliseconds kLongestPause{500};
   static constexpr std::size_t kRecentEntries = 20'000;
@@ -166,7 +167,8 @@
 template <LogService Log, RuntimeClock ClockT>
 absl::Status LogFollower<Log, ClockT>::ReadOnce() {
   const Offset from = next_offset();
-  const absl::StatusOr<LogPage> page = log_.Read(from, kEntriesInRead, kReadWait);
+  const absl::StatusOr<LogPage> page =
+      log_.Read(from, kEntriesInRead, has_state_ ? kReadWait : kNoWait);
   if (absl::IsOutOfRange(page.status())) return Bootstrap();
   if (!page.ok()) return page.status();
   log_answered_ = clock_.Now();
--- a/entry/order_desk.cc
+++ b/entry/order_desk.cc
@@ -14,15 +14,18 @@
 }  // namespace
 
 OrderDesk::OrderDesk(Options options, const SteadyClock& clock, AppendFunction append,
+                     std::function<std::size_t()> members,
                      std::function<void(std::function<void()>)> run, MetricsRegistry* metrics)
     : options_(std::move(options)),
       clock_(clock),
       append_(std::move(append)),
+      members_(std::move(members)),
       run_(std::move(run)),
       batches_(metrics->Counter("wigeonlane_order_batches_total")),
       claims_(metrics->Counter("wigeonlane_order_claims_total")),
       append_failures_(metrics->Counter("wigeonlane_order_append_failures_total")),
       book_({.author = options_.author}, clock),
+      budget_(options_.appends_per_second, clock),
       thread_([this] { Run(); }) {}
 
 OrderDesk::~OrderDesk() { Stop(); }
@@ -118,17 +121,26 @@
     OrderBatch batch;
     {
       std::unique_lock lock(mutex_);
-      wake_.wait(lock, [this] { return stopping_ || book_.NextBatch().has_value(); });
-      if (stopping_) return;
-      batch = *book_.NextBatch();
+      wake_.wait(lock, [this] { return stopping_ || book_.has_work(); });
+      if (stopping_ || !WaitForBudget(&lock)) return;
+      const auto& next = book_.NextBatch();
+      if (!next.has_value()) continue;  // Everything that waited was given up meanwhile.
+      batch = *next;
     }
     AppendBatch(batch);
-    if (options_.commit_pause > std::chrono::milliseconds(0)) {
-      std::this_thread::sleep_for(options_.commit_pause);
-    }
   }
 }
 
+bool OrderDesk::WaitForBudget(std::unique_lock<std::mutex>* lock) {
+  // Claims that come meanwhile join the batch, so a smaller budget means larger batches.
+  while (book_.has_work()) {
+    const Duration wait = budget_.Take(members_());
+    if (wait == Duration(0)) return true;
+    if (wake_.wait_for(*lock, wait, [this] { return stopping_; })) return false;
+  }
+  return true;
+}
+
 void OrderDesk::AppendBatch(const OrderBatch& batch) {
   ++batches_;
   claims_ += batch.claims.size();
--- a/entry/order_desk.h
+++ b/entry/order_desk.h
@@ -21,6 +21,7 @@
 #include "core/metrics.h"
 #include "entry/caller_request.h"
 #include "platform/log_service.h"
+#include "policy/append_budget.h"
 #include "policy/order_book.h"
 
 namespace wigeonlane {
@@ -38,12 +39,14 @@
 
   struct Options {
     std::string author;
-    std::chrono::milliseconds commit_pause{0};  ///< Pause between batches, to group more.
+    double appends_per_second = 0;  ///< Budget of all entry instances together.
   };
 
-  /// `append` is called on the desk's own thread. `run` posts callbacks to where they may block.
+  /// `append` is called on the desk's own thread; `members` counts the live entry instances. `run`
+  /// posts callbacks to where they may block.
   OrderDesk(Options options, const SteadyClock& clock, AppendFunction append,
-            std::function<void(std::function<void()>)> run, MetricsRegistry* metrics);
+            std::function<std::size_t()> members, std::function<void(std::function<void()>)> run,
+            MetricsRegistry* metrics);
   ~OrderDesk();
   OrderDesk(const OrderDesk&) = delete;
   OrderDesk& operator=(const OrderDesk&) = delete;
@@ -82,6 +85,7 @@
   };
 
   void Run();
+  bool WaitForBudget(std::unique_lock<std::mutex>* lock);
   void AppendBatch(const OrderBatch& batch);
   using Callbacks = std::vector<std::function<void()>>;
 
@@ -93,6 +97,7 @@
   const Options options_;
   const SteadyClock& clock_;
   const AppendFunction append_;
+  const std::function<std::size_t()> members_;
   const std::function<void(std::function<void()>)> run_;
   std::atomic<std::uint64_t>& batches_;
   std::atomic<std::uint64_t>& claims_;
@@ -100,6 +105,7 @@
   mutable std::mutex mutex_;
   std::condition_variable wake_;
   OrderBook<SteadyClock, KeptAnswer> book_;
+  AppendBudget<SteadyClock> budget_;
   std::map<std::uint64_t, Waiting> waiting_;
   std::uint64_t folded_sequence_ = 0;
   std::optional<Instant> failing_since_;
--- a/load/load_plan.cc
+++ b/load/load_plan.cc
@@ -78,6 +78,8 @@
   plan.seed = static_cast<std::uint64_t>(reader.Integer("seed", 0, INT64_MAX, 1));
   plan.duration = reader.Period("duration", milliseconds(1), kLongestRun, milliseconds(10'000));
   plan.threads = static_cast<std::size_t>(reader.Integer("threads", 1, kMostThreads, 256));
+  plan.closed_callers =
+      static_cast<std::size_t>(reader.Integer("closed_callers", 0, kMostThreads, 0));
   plan.direct = reader.Boolean("direct", false);
   if (absl::Status status = reader.Finish(); !status.ok()) return status;
   const auto targets = Addresses(*json, "targets");
--- a/load/load_plan.h
+++ b/load/load_plan.h
@@ -31,11 +31,12 @@
 struct LoadPlan {
   std::uint64_t seed = 1;
   std::chrono::milliseconds duration{0};
-  std::size_t threads = 0;        ///< Most requests in flight.
-  std::vector<Endpoint> targets;  ///< Entry instances, or runners for a direct baseline.
-  std::vector<double> weights;    ///< Share of each target, as a skewed balancer gives.
-  bool direct = false;            ///< Targets are runners: no service in the path.
-  std::vector<Endpoint> ledgers;  ///< Control addresses of stand-in runners.
+  std::size_t threads = 0;         ///< Most requests in flight.
+  std::vector<Endpoint> targets;   ///< Entry instances, or runners for a direct baseline.
+  std::vector<double> weights;     ///< Share of each target, as a skewed balancer gives.
+  std::size_t closed_callers = 0;  ///< Callers that send one request after another; 0: open.
+  bool direct = false;             ///< Targets are runners: no service in the path.
+  std::vector<Endpoint> ledgers;   ///< Control addresses of stand-in runners.
   std::vector<LoadStream> streams;
 };
 
--- a/load/load_runner.cc
+++ b/load/load_runner.cc
@@ -3,6 +3,7 @@
 #include <httplib.h>
 
 #include <algorithm>
+#include <atomic>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -55,19 +56,11 @@
       : plan_(plan), progress_(progress), arrivals_(MakeArrivals(plan)) {}
 
   LoadReport Execute() {
-    {
-      ThreadPool callers(plan_.threads);
-      start_ = clock_.Now();
-      Instant shown = start_;
-      for (const Arrival& arrival : arrivals_) {
-        std::this_thread::sleep_until(start_ + arrival.at);
-        callers.Post([this, &arrival] { SendOne(arrival); });
-        if (progress_ && clock_.Now() - shown >= kProgressInterval) {
-          shown = clock_.Now();
-          progress_(std::chrono::duration<double>(arrival.at).count() /
-                    std::chrono::duration<double>(plan_.duration).count());
-        }
-      }
+    start_ = clock_.Now();
+    if (plan_.closed_callers > 0) {
+      SendClosed();
+    } else {
+      SendOpen();
     }
     LoadReport report;
     report.streams = Summarize(plan_, samples_);
@@ -76,6 +69,35 @@
   }
 
  private:
+  /// Sends each arrival when it is due, whatever became of earlier ones.
+  void SendOpen() {
+    ThreadPool callers(plan_.threads);
+    Instant shown = start_;
+    for (const Arrival& arrival : arrivals_) {
+      std::this_thread::sleep_until(start_ + arrival.at);
+      callers.Post([this, &arrival] { SendOne(arrival); });
+      if (!progress_ || clock_.Now() - shown < kProgressInterval) continue;
+      shown = clock_.Now();
+      progress_(std::chrono::duration<double>(arrival.at).count() /
+                std::chrono::duration<double>(plan_.duration).count());
+    }
+  }
+
+  /// Callers of the first stream that wait for each answer: the cost of one request at a time.
+  void SendClosed() {
+    ThreadPool callers(plan_.closed_callers);
+    for (std::size_t caller = 0; caller < plan_.closed_callers; ++caller) {
+      callers.Post([this, caller] {
+        const microseconds work = plan_.streams.front().work;
+        while (clock_.Now() < start_ + plan_.duration) {
+          const auto at = std::chrono::duration_cast<microseconds>(clock_.Now() - start_);
+          const std::uint64_t number = next_number_++;
+          SendOne({at, 0, (caller + number) % plan_.targets.size(), number, work});
+        }
+      });
+    }
+  }
+
   void SendOne(const Arrival& arrival) {
     const LoadStream& stream = plan_.streams[arrival.stream];
     const std::string key =
@@ -172,6 +194,7 @@
   const SteadyClock clock_{};
   Instant start_;
   OrderAudit audit_;
+  std::atomic<std::uint64_t> next_number_{0};
   std::mutex mutex_;
   std::vector<LoadSample> samples_;
 };
--- a/policy/order_book.h
+++ b/policy/order_book.h
@@ -82,6 +82,11 @@
   /// Forgets answers that were kept long enough.
   void ForgetOld();
 
+  /// Whether `NextBatch` has something to append.
+  bool has_work() const {
+    return under_way_.has_value() || !waiting_.empty() || !unsent_releases_.empty();
+  }
+
   std::size_t waiting_claims() const { return waiting_.size(); }
   std::size_t entries() const { return entries_.size(); }
 
--- a/standin/backend_main.cc
+++ b/standin/backend_main.cc
@@ -1,6 +1,4 @@
 /// standin-backend: one runner of a backend server for tests and trials.
-#include <httplib.h>
-
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -13,6 +11,7 @@
 #include "absl/strings/numbers.h"
 #include "core/document.h"
 #include "core/http_client.h"
+#include "core/http_server.h"
 #include "core/settings.h"
 #include "core/text.h"
 #include "standin/execution_ledger.h"
@@ -24,6 +23,8 @@
 constexpr std::string_view kEnvironmentPrefix = "WIGEONLANE_STANDIN_";
 constexpr std::chrono::milliseconds kPoll{5};
 constexpr std::chrono::milliseconds kPlatformTimeout{1'000};
+constexpr std::chrono::milliseconds kRegisterAgain{100};
+constexpr int kOk = 200;
 /// A reboot ends only after idle connections timed out, since the library waits for them.
 constexpr std::chrono::seconds kIdleTimeout{3};
 constexpr std::ptrdiff_t kMostSlots = 4096;
@@ -175,15 +176,21 @@
   const auto platform = ParseEndpoint(settings.platform);
   if (!platform.ok()) return;
   HttpClient client(*platform, kPlatformTimeout);
-  client.Post("/instances/register", nlohmann::json{{"name", settings.name},
-                                                    {"role", "worker"},
-                                                    {"pool", settings.pool},
-                                                    {"rack", settings.rack},
-                                                    {"data_centre", settings.data_centre},
-                                                    {"host", settings.listen.host},
-                                                    {"port", settings.listen.port},
-                                                    {"control_port", settings.control.port}}
-                                         .dump());
+  const std::string body = nlohmann::json{
+      {"name", settings.name},
+      {"role", "worker"},
+      {"pool", settings.pool},
+      {"rack", settings.rack},
+      {"data_centre", settings.data_centre},
+      {"host", settings.listen.host},
+      {"port", settings.listen.port},
+      {"control_port",
+       settings.control.port}}.dump();
+  while (!g_stop) {
+    const HttpExchange exchange = client.Post("/instances/register", body);
+    if (exchange.answer.ok() && exchange.answer->code == kOk) return;
+    std::this_thread::sleep_for(kRegisterAgain);
+  }
 }
 
 /// Serves until the process stops; a reboot closes the port for a while in between.
@@ -194,7 +201,7 @@
 
   int Run() {
     RouteControl();
-    if (!control_.bind_to_port(settings_.control.host, settings_.control.port)) {
+    if (!control_.Bind(settings_.control)) {
       std::cerr << "standin-backend: cannot listen on " << settings_.control.ToString() << "\n";
       return 1;
     }
@@ -227,7 +234,7 @@
   }
 
   bool ServeOneBoot() {
-    httplib::Server server;
+    HttpServer server;
     const auto threads = static_cast<std::size_t>(settings_.connections);
     server.new_task_queue = [threads] { return new httplib::ThreadPool(threads); };
     server.set_tcp_nodelay(true);
@@ -237,7 +244,7 @@
       runner_.Serve(request, &response);
     };
     server.Get(".*", serve).Post(".*", serve).Put(".*", serve).Delete(".*", serve);
-    if (!server.bind_to_port(settings_.listen.host, settings_.listen.port)) {
+    if (!server.Bind(settings_.listen)) {
       std::cerr << "standin-backend: cannot listen on " << settings_.listen.ToString() << "\n";
       return false;
     }
@@ -251,7 +258,7 @@
 
   const BackendSettings settings_;
   Runner runner_;
-  httplib::Server control_;
+  HttpServer control_;
   std::atomic<std::int64_t> reboot_for_ms_{0};
 };
 
--- a/standin/platform_main.cc
+++ b/standin/platform_main.cc
@@ -1,6 +1,4 @@
 /// standin-platform: the platform's log, instance list and reboots for tests and trials.
-#include <httplib.h>
-
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -12,6 +10,7 @@
 #include "absl/strings/escaping.h"
 #include "absl/strings/numbers.h"
 #include "core/document.h"
+#include "core/http_server.h"
 #include "core/settings.h"
 #include "core/text.h"
 #include "standin/fault_switches.h"
@@ -180,12 +179,12 @@
   PlatformLog log(static_cast<double>(*rate), static_cast<std::size_t>(*keep));
   PlatformInstances instances(*reboot);
   PlatformServer platform(&log, &instances);
-  httplib::Server server;
+  HttpServer server;
   server.new_task_queue = [] { return new httplib::ThreadPool(kServerThreads); };
   server.set_tcp_nodelay(true);
   server.set_keep_alive_max_count(1'000'000'000);
   platform.Route(&server);
-  if (!server.bind_to_port(listen->host, listen->port)) {
+  if (!server.Bind(*listen)) {
     std::cerr << "standin-platform: cannot listen on " << listen->ToString() << "\n";
     return 1;
   }
--- a/tests/process/bad_input_test.py
+++ b/tests/process/bad_input_test.py
@@ -104,7 +104,7 @@
     for arguments, named in [
             ([*base, "--nonsense"], "nonsense"), ([*base, "--listen", "localhost:1"], "--listen"),
             ([*base, "--admin", "127.0.0.1:70000"], "--admin"),
-            ([*base, "--commit-pause", "5"], "--commit-pause"),
+            ([*base, "--shutdown-wait", "5"], "--shutdown-wait"),
             ([*base, "--io-threads", "0"], "--io-threads"), (["--name", "a"], "--data-centre"),
             ([*base, "--log-format", "xml"], "--log-format"), ([*base, "word"], "word")]:
         code, error = daemon(*arguments)
