--- a/daemon/node.cc
+++ b/daemon/node.cc
@@ -7,6 +7,7 @@
 
 #include "core/codec.h"
 #include "core/logging.h"
+#include "core/pacing.h"
 #include "core/text.h"
 
 namespace wigeonlane {
@@ -18,6 +19,7 @@
 constexpr std::chrono::milliseconds kNoWait{0};
 constexpr std::chrono::milliseconds kResyncTimeout{250};
 constexpr std::size_t kResyncEntries = 10'000;
+constexpr std::size_t kReadingThreads = 8;
 constexpr std::size_t kSuffixBytes = 1024 * 1024;
 
 std::string NewIncarnation(const std::string& name) {
@@ -26,6 +28,11 @@
                 absl::Hex(random(), absl::kZeroPad8));
 }
 
+/// Threads that may send for callers at once; the rest keep reading and keep time.
+std::size_t InlineSends(std::size_t io_threads) {
+  return io_threads > kReadingThreads ? io_threads - kReadingThreads : 0;
+}
+
 }  // namespace
 
 Node::Node(NodeSettings settings)
@@ -44,7 +51,7 @@
                &instance_list_, &follower_, clock_),
       runners_(clock_),
       send_threads_(settings_.send_threads),
-      dispatcher_(clock_, &runners_, &send_threads_, &metrics_),
+      dispatcher_(clock_, &runners_, &send_threads_, InlineSends(settings_.io_threads), &metrics_),
       desk_(
           {.author = incarnation_, .appends_per_second = settings_.order_appends_per_second},
           clock_, [this](const std::vector<NewRecord>& records) { return log_.Append(records); },
@@ -107,7 +114,7 @@
       {.members = [this] { return peers_.Progress(); },
        .on_list = [this](const std::vector<ListedInstance>& listed) { peers_.OnList(listed); }});
   ScheduleSweep();
-  ScheduleReconfigure();
+  ScheduleReconfigure(kReconfigureInterval);
   for (std::size_t i = 0; i < settings_.io_threads; ++i) {
     io_threads_.emplace_back([this] { context_.run(); });
   }
@@ -193,12 +200,13 @@
   });
 }
 
-void Node::ScheduleReconfigure() {
-  reconfigure_timer_.expires_after(kReconfigureInterval);
+void Node::ScheduleReconfigure(Duration pause) {
+  reconfigure_timer_.expires_after(pause);
   reconfigure_timer_.async_wait([this](std::error_code error) {
     if (error) return;
+    const Instant began = clock_.Now();
     Reconfigure();
-    ScheduleReconfigure();
+    ScheduleReconfigure(PauseAfter(clock_.Now() - began, kReconfigureInterval));
   });
 }
 
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -49,7 +49,7 @@
   void Reconfigure();
   void Resync();
   void ScheduleSweep();
-  void ScheduleReconfigure();
+  void ScheduleReconfigure(Duration pause);
   PeerGroup::Hooks PeerHooks();
   std::map<std::string, std::uint32_t> DrainingInFlight() const;
   std::shared_ptr<const RouteView> View() const;
--- a/daemon/node_settings.cc
+++ b/daemon/node_settings.cc
@@ -42,7 +42,8 @@
       {"log-level", "info", "trace, debug, info, warn, error or off"},
       {"log-format", "kv", "kv (key=value) or json"},
       {"log-decisions", "on", "one line for each routing or placement decision: on or off"},
-      {"io-threads", "2", "threads for callers' and peers' connections, 1 to 64"},
+      {"io-threads", "32",
+       "threads for callers' and peers' connections, which also send while few do, 1 to 512"},
       {"send-threads", "512", "most requests on runners at once, 1 to 8192"},
       {"most-connections", "4096", "most callers' connections, 1 to 100000"},
       {"order-appends", "300",
@@ -63,7 +64,7 @@
   const auto peer = Address(values, "peer");
   const auto platform = Address(values, "platform");
   const auto seeds = ParseEndpoints(values.Text("seeds"));
-  const auto io_threads = values.Integer("io-threads", 1, 64);
+  const auto io_threads = values.Integer("io-threads", 1, 512);
   const auto send_threads = values.Integer("send-threads", 1, 8192);
   const auto connections = values.Integer("most-connections", 1, 100'000);
   const auto order_appends = values.Integer("order-appends", 1, 100'000);
--- a/entry/dispatcher.cc
+++ b/entry/dispatcher.cc
@@ -22,8 +22,12 @@
 }  // namespace
 
 Dispatcher::Dispatcher(const SteadyClock& clock, RunnerClient* runners, ThreadPool* threads,
-                       MetricsRegistry* metrics)
-    : clock_(clock), runners_(*runners), threads_(*threads), metrics_(*metrics) {}
+                       std::size_t most_inline, MetricsRegistry* metrics)
+    : clock_(clock),
+      runners_(*runners),
+      threads_(*threads),
+      most_inline_(most_inline),
+      metrics_(*metrics) {}
 
 void Dispatcher::Handle(CallerRequest request, Responder respond) {
   ++open_calls_;
@@ -98,11 +102,29 @@
                      });
 }
 
-void Dispatcher::Admit(const CallPtr& call) { Carry(call->lane->Offer(call)); }
+void Dispatcher::Admit(const CallPtr& call) {
+  const LaneChange change = call->lane->Offer(call);
+  if (change.runnable.empty() || ++inline_now_ > most_inline_) {
+    if (!change.runnable.empty()) --inline_now_;
+    return Carry(change);
+  }
+  RunHere(change);
+  --inline_now_;
+}
+
+void Dispatcher::RunHere(const LaneChange& change) {
+  // The first runnable call goes on in this thread, and what its end makes runnable after it is
+  // left to the pool, so that a caller's thread is held for one request only.
+  for (std::size_t i = 1; i < change.runnable.size(); ++i) {
+    threads_.Post([this, call = change.runnable[i]] { Carry(Run(call)); });
+  }
+  for (const RefusedCall& refused : change.refused) Refuse(refused);
+  Carry(Run(change.runnable.front()));
+}
 
 void Dispatcher::Carry(const LaneChange& change) {
   for (const CallPtr& call : change.runnable) {
-    threads_.Post([this, call] { Run(call); });
+    threads_.Post([this, call] { Carry(Run(call)); });
   }
   for (const RefusedCall& refused : change.refused) Refuse(refused);
 }
@@ -115,12 +137,12 @@
   wiring_.resync();
 }
 
-void Dispatcher::Run(const CallPtr& call) {
+LaneChange Dispatcher::Run(const CallPtr& call) {
   CatchUpAfterPause();
   CallerAnswer answer = SendWithRetries(*call);
   const LaneChange change = call->lane->FinishCall(*call);
   Answer(call, std::move(answer));
-  Carry(change);
+  return change;
 }
 
 CallerAnswer Dispatcher::SendWithRetries(const Call& call) {
--- a/entry/dispatcher.h
+++ b/entry/dispatcher.h
@@ -26,8 +26,9 @@
 
 namespace wigeonlane {
 
-/// Owner of all service lanes. `Handle` never blocks: requests wait without a thread, and only
-/// requests that hold a slot use one.
+/// Owner of all service lanes. Requests wait without a thread; only requests that hold a slot use
+/// one. `Handle` sends from the calling thread while few do, which saves a change of threads, and
+/// else hands over to the pool, so that callers' threads are never all taken.
 class Dispatcher {
  public:
   /// Takes an order to the desk with the folded state locked.
@@ -48,7 +49,7 @@
   };
 
   Dispatcher(const SteadyClock& clock, RunnerClient* runners, ThreadPool* threads,
-             MetricsRegistry* metrics);
+             std::size_t most_inline, MetricsRegistry* metrics);
 
   /// Completes the wiring; called once before the first request.
   void Connect(Wiring wiring) { wiring_ = std::move(wiring); }
@@ -84,7 +85,8 @@
   void TellAuthorsOutcome(const CallPtr& call, const std::string& author, const Digest& key);
   void Admit(const CallPtr& call);
   void Carry(const LaneChange& change);
-  void Run(const CallPtr& call);
+  void RunHere(const LaneChange& change);
+  LaneChange Run(const CallPtr& call);
   void CatchUpAfterPause();
   CallerAnswer SendWithRetries(const Call& call);
   bool MayRetry(const Call& call, const AttemptResult& result, const ExecutionTrace& trace,
@@ -96,6 +98,8 @@
   const SteadyClock& clock_;
   RunnerClient& runners_;
   ThreadPool& threads_;
+  const std::size_t most_inline_;
+  std::atomic<std::size_t> inline_now_{0};
   MetricsRegistry& metrics_;
   Wiring wiring_;
   std::atomic<std::uint64_t> next_id_{0};
--- a/entry/front_end.cc
+++ b/entry/front_end.cc
@@ -1,5 +1,7 @@
 #include "entry/front_end.h"
 
+#include <sys/socket.h>
+
 #include <array>
 #include <asio/dispatch.hpp>
 #include <asio/ip/tcp.hpp>
@@ -255,11 +257,25 @@
     if (Standard(message.target()) == kReadyPath) return Write(Plain("ready\n"));
     auto self = this->shared_from_this();
     std::string id = request_.request_id;
-    owner_->handlers_.serve(std::move(request_), [self, id](CallerAnswer answer) {
-      asio::post(self->socket_.get_executor(), [self, id, answer = std::move(answer)] {
-        self->request_.request_id = id;
-        self->Write(answer);
-      });
+    serving_ = true;
+    owner_->handlers_.serve(std::move(request_), [self, id](const CallerAnswer& answer) {
+      self->request_.request_id = id;
+      self->AnswerFromAnyThread(answer);
+    });
+  }
+
+  /// Writes the answer at once where the socket takes it whole, since a change of threads costs as
+  /// much as a request. No operation is pending on the socket while a request is served.
+  void AnswerFromAnyThread(const CallerAnswer& answer) {
+    out_ = FormatAnswer(answer, request_.request_id, head_, keep_alive_);
+    const ssize_t sent =
+        ::send(socket_.native_handle(), out_.data(), out_.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+    const std::size_t done = sent < 0 ? 0 : static_cast<std::size_t>(sent);
+    auto self = this->shared_from_this();
+    asio::post(socket_.get_executor(), [self, done] {
+      self->serving_ = false;
+      if (done == self->out_.size()) return self->OnWritten({});
+      self->WriteRest(done);
     });
   }
 
@@ -269,8 +285,12 @@
 
   void Write(const CallerAnswer& answer) {
     out_ = FormatAnswer(answer, request_.request_id, head_, keep_alive_);
+    WriteRest(0);
+  }
+
+  void WriteRest(std::size_t done) {
     SetTimer(owner_->options_.read_timeout);
-    asio::async_write(socket_, asio::buffer(out_),
+    asio::async_write(socket_, asio::buffer(out_) + done,
                       [self = this->shared_from_this()](std::error_code error, std::size_t) {
                         self->OnWritten(error);
                       });
@@ -307,7 +327,7 @@
     timer_.expires_after(period);
     timer_.async_wait([weak = this->weak_from_this()](std::error_code error) {
       const auto self = weak.lock();
-      if (error || self == nullptr) return;
+      if (error || self == nullptr || self->serving_) return;
       if (self->timer_.expiry() > asio::steady_timer::clock_type::now()) return;
       self->timed_out_ = true;
       self->socket_.cancel();
@@ -322,6 +342,7 @@
   std::string pending_;
   std::string out_;
   CallerRequest request_;
+  std::atomic<bool> serving_{false};
   bool header_checked_ = false;
   bool keep_alive_ = true;
   bool head_ = false;
--- a/entry/planner_loop.h
+++ b/entry/planner_loop.h
@@ -15,6 +15,7 @@
 
 #include "core/clock.h"
 #include "core/logging.h"
+#include "core/pacing.h"
 #include "core/text.h"
 #include "entry/log_follower.h"
 #include "fleet/snapshot.h"
@@ -74,7 +75,8 @@
   static constexpr Duration kWriteAgain = std::chrono::seconds(2);
 
   void Run();
-  void Round();
+  /// Returns the time that planning took; waiting for the platform does not count.
+  Duration Round();
   void FetchList();
   void Write(const FleetPlan& plan);
   void WriteSnapshotIfDue();
@@ -100,23 +102,26 @@
 
 template <LogService Log, InstanceList List, RuntimeClock ClockT>
 void PlannerLoop<Log, List, ClockT>::Run() {
+  Duration pause = kInterval;
   while (true) {
     {
       std::unique_lock lock(mutex_);
-      if (wake_.wait_for(lock, kInterval, [this] { return stopping_; })) return;
+      if (wake_.wait_for(lock, pause, [this] { return stopping_; })) return;
     }
-    Round();
+    pause = PauseAfter(Round(), kInterval);
   }
 }
 
 template <LogService Log, InstanceList List, RuntimeClock ClockT>
-void PlannerLoop<Log, List, ClockT>::Round() {
+Duration PlannerLoop<Log, List, ClockT>::Round() {
   FetchList();
-  if (!follower_.has_state()) return;
+  if (!follower_.has_state()) return Duration(0);
+  const Instant began = clock_.Now();
   const std::vector<MemberProgress> members = sources_.members();
   const FleetPlan plan = follower_.WithState([&](const FleetState& state) {
     return planner_.Plan(state, listed_, members, clock_.Now());
   });
+  const Duration spent = clock_.Now() - began;
   Write(plan);
   for (const std::string& name : plan.reboots) {
     Instant& asked = reboot_asked_[name];
@@ -128,6 +133,7 @@
                            {"asked", status.ok() ? "yes" : MessageOf(status)}});
   }
   WriteSnapshotIfDue();
+  return spent;
 }
 
 template <LogService Log, InstanceList List, RuntimeClock ClockT>
--- a/entry/runner_client.cc
+++ b/entry/runner_client.cc
@@ -17,6 +17,8 @@
 /// Shorter than the idle timeouts of backend servers, so that a request seldom meets a connection
 /// that the other side closes at that moment, which would leave its execution in doubt.
 constexpr Duration kLongestIdle = std::chrono::milliseconds(1'500);
+/// How far beyond its deadline a trickling answer may be read.
+constexpr std::chrono::milliseconds kWatchInterval{25};
 constexpr std::size_t kLargestAnswer = 64 * 1024 * 1024;
 
 constexpr std::array<std::string_view, 9> kHopHeaders = {
@@ -109,8 +111,7 @@
     Guard(DeadlineWatch* watch, Instant deadline, httplib::Client* client) : watch_(*watch) {
       const std::lock_guard lock(watch_.mutex_);
       key_ = {deadline, ++watch_.next_};
-      const auto at = watch_.calls_.emplace(key_, client).first;
-      if (at == watch_.calls_.begin()) watch_.wake_.notify_all();
+      watch_.calls_.emplace(key_, client);
     }
     ~Guard() {
       const std::lock_guard lock(watch_.mutex_);
@@ -127,19 +128,14 @@
  private:
   void Run() {
     std::unique_lock lock(mutex_);
-    while (!stopping_) {
-      if (calls_.empty()) {
-        wake_.wait(lock);
-        continue;
+    // Looks at fixed intervals: waking this thread for each call would cost more than the call.
+    while (!wake_.wait_for(lock, kWatchInterval, [this] { return stopping_; })) {
+      const Instant now = SteadyClock().Now();
+      while (!calls_.empty() && calls_.begin()->first.first <= now) {
+        // Called under the lock, so that the guard cannot let the client go meanwhile.
+        calls_.begin()->second->stop();
+        calls_.erase(calls_.begin());
       }
-      const auto first = calls_.begin();
-      if (SteadyClock().Now() < first->first.first) {
-        wake_.wait_until(lock, first->first.first);
-        continue;
-      }
-      // Called under the lock, so that the guard cannot let the client go meanwhile.
-      first->second->stop();
-      calls_.erase(first);
     }
   }
 
@@ -211,7 +207,7 @@
   }
   const bool refused = response.status == 503 &&
                        response.get_header_value(std::string(header::kRefused)) == "not-run";
-  if (!HasUnreadBytes(&client)) KeepIdle(runner, std::move(connection));
+  KeepIdle(runner, std::move(connection));
   if (refused) {
     return {Execution::kNotRun,
             absl::UnavailableError(Concat("runner ", runner.ToString(), " refused")),
