shares: demand as a mean in hundredths of a slot, one split over own and borrowed slots

Cause: with a balancer that sends two thirds of a flood to one of six entry instances, the flooded service kept 640 good answers a second of about 1115 that its 48 slots could give. Status of all six showed shares of 7 to 8 each: peak-held demand made five lightly loaded instances ask for as much as the flooded one, and the own and the borrowed slots were each split with the full demand. Ruled out: refusals by deadline (all were queue-full), threads, connections (runners never held more than 8 requests). Waiting requests as a mean too: kept.

--- a/bench/capacity_bench.cc
+++ b/bench/capacity_bench.cc
@@ -90,7 +90,7 @@
   for (std::int64_t i = 0; i < count; ++i) {
     MemberDemand member{"entry-" + std::to_string(i), {}};
     for (std::int64_t s = 0; s < services; ++s) {
-      member.by_service[PoolName(s)] = static_cast<std::uint32_t>((i * 7 + s * 3) % 40);
+      member.by_service[PoolName(s)] = static_cast<std::uint32_t>((i * 7 + s * 3) % 40) * 100;
     }
     members.push_back(std::move(member));
   }
--- a/entry/dispatcher.h
+++ b/entry/dispatcher.h
@@ -66,7 +66,7 @@
   /// Largest body that the service takes, or none for an unknown service.
   std::optional<std::uint32_t> BodyLimit(const std::string& service) const;
 
-  /// Demand by service to report to the other entry instances.
+  /// Demand by service to report to the other entry instances, in hundredths of a slot.
   std::map<std::string, std::uint32_t> ReportedDemand() const;
 
   /// Requests in flight by instance over all services.
--- a/entry/service_lane.cc
+++ b/entry/service_lane.cc
@@ -1,7 +1,5 @@
 #include "entry/service_lane.h"
 
-#include <cmath>
-
 #include "core/text.h"
 
 namespace wigeonlane {
@@ -21,7 +19,8 @@
       latency_(metrics->Histogram("wigeonlane_request_seconds", Label(service))),
       refusals_(metrics->Counter("wigeonlane_refusals_total", Label(service))),
       admission_(clock),
-      runners_(clock) {
+      runners_(clock),
+      demand_(clock) {
   for (const Execution execution : {Execution::kNotRun, Execution::kMayHaveRun, Execution::kRan}) {
     answers_[execution] =
         &metrics->Counter("wigeonlane_answers_total",
@@ -94,13 +93,7 @@
 
 std::uint32_t ServiceLane::ReportedDemand() {
   const std::lock_guard lock(mutex_);
-  const Instant now = clock_.Now();
-  const std::chrono::duration<double> elapsed = now - demand_at_;
-  demand_at_ = now;
-  const double present = admission_.running() + admission_.waiting();
-  const double decayed = smoothed_demand_ * std::exp2(-(elapsed / kDemandHalfLife));
-  smoothed_demand_ = std::max(present, decayed);
-  return static_cast<std::uint32_t>(std::lround(smoothed_demand_));
+  return demand_.Update(admission_.running(), admission_.waiting());
 }
 
 std::map<std::string, std::uint32_t> ServiceLane::InFlight() const {
--- a/entry/service_lane.h
+++ b/entry/service_lane.h
@@ -17,6 +17,7 @@
 #include "fleet/document.h"
 #include "policy/admission.h"
 #include "policy/allotment.h"
+#include "policy/demand_meter.h"
 #include "policy/retry_budget.h"
 #include "policy/runner_set.h"
 
@@ -79,8 +80,8 @@
   /// Takes one retry from the budget.
   bool TakeRetry();
 
-  /// Demand to report to the other entry instances: running and waiting, rising at once and
-  /// falling by half in `kDemandHalfLife`, so that shares do not follow every gap.
+  /// Demand to report to the other entry instances; in hundredths of a slot;
+  /// see `DemandMeter`.
   std::uint32_t ReportedDemand();
 
   /// Requests in flight by instance.
@@ -97,8 +98,6 @@
   void CountAnswer(Execution execution, bool refused);
 
  private:
-  static constexpr std::chrono::duration<double> kDemandHalfLife{0.5};
-
   LaneChange FromAdmission(const std::vector<AdmissionRequest>& runnable,
                            const std::vector<Refusal>& refused);
   CallPtr TakeWaiting(std::uint64_t id);
@@ -115,8 +114,7 @@
   RunnerSet<SteadyClock> runners_;
   RetryBudget retries_;
   std::map<std::uint64_t, CallPtr> waiting_;
-  double smoothed_demand_ = 0;
-  Instant demand_at_{};
+  DemandMeter<SteadyClock> demand_;
 };
 
 }  // namespace wigeonlane
--- a/peer/messages.h
+++ b/peer/messages.h
@@ -42,7 +42,7 @@
   Offset next_offset = 0;
   bool has_state = false;
   bool leaving = false;
-  std::map<std::string, std::uint32_t> demand;     ///< By service.
+  std::map<std::string, std::uint32_t> demand;     ///< By service, in hundredths of a slot.
   std::map<std::string, std::uint32_t> in_flight;  ///< By draining instance.
   std::vector<Endpoint> known;                     ///< Some other members, so that all meet.
 
--- a/policy/allotment.cc
+++ b/policy/allotment.cc
@@ -1,13 +1,17 @@
 #include "policy/allotment.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
+#include "policy/demand_meter.h"
 #include "policy/shares.h"
 
 namespace wigeonlane {
 namespace {
 
+constexpr double kMostDemand = 1e6;
+
 /// One service's part of one pool.
 struct PoolPart {
   std::string service;
@@ -15,13 +19,16 @@
   bool borrowed = false;
 };
 
+/// Slots that a service needs over all members: the mean and one standard deviation of random
+/// arrivals, taken once for the whole fleet.
 std::uint32_t DemandOf(const std::vector<MemberDemand>& members, const std::string& service) {
   std::uint64_t total = 0;
   for (const MemberDemand& member : members) {
     const auto found = member.by_service.find(service);
     if (found != member.by_service.end()) total += found->second;
   }
-  return static_cast<std::uint32_t>(std::min<std::uint64_t>(total, UINT32_MAX));
+  const double mean = static_cast<double>(total) / kDemandUnits;
+  return static_cast<std::uint32_t>(std::min(std::ceil(mean + std::sqrt(mean)), kMostDemand));
 }
 
 /// Divides a pool among the services that live in it; what nobody demands is split evenly.
@@ -113,11 +120,47 @@
   std::vector<std::uint32_t> demands;
   for (const MemberDemand& member : members) {
     const auto found = member.by_service.find(service);
-    demands.push_back(found == member.by_service.end() ? 0 : found->second);
+    const std::uint32_t units = found == member.by_service.end() ? 0 : found->second;
+    demands.push_back((units + kDemandUnits - 1) / kDemandUnits);
   }
   return demands;
 }
 
+/// How the slots of one service are split among the members: each owns one range of a line on
+/// which the service's parts of all pools follow each other.
+class MemberRanges {
+ public:
+  MemberRanges(std::uint32_t slots, const std::vector<std::uint32_t>& demands)
+      : shares_(DivideAmongMembers(slots, demands)) {}
+
+  /// Shares of the members in the next `slots` of the line.
+  std::vector<std::uint32_t> Next(std::uint32_t slots) {
+    std::vector<std::uint32_t> taken(shares_.size(), 0);
+    for (std::size_t member = 0; member < shares_.size() && slots > 0; ++member) {
+      taken[member] = std::min(shares_[member], slots);
+      shares_[member] -= taken[member];
+      slots -= taken[member];
+    }
+    return taken;
+  }
+
+ private:
+  std::vector<std::uint32_t> shares_;
+};
+
+std::map<std::string, MemberRanges> RangesByService(const Division& division,
+                                                    const std::vector<MemberDemand>& members) {
+  std::map<std::string, std::uint32_t> slots;
+  for (const auto& [pool, parts] : division.parts()) {
+    for (const PoolPart& part : parts) slots[part.service] += part.slots;
+  }
+  std::map<std::string, MemberRanges> ranges;
+  for (const auto& [service, count] : slots) {
+    ranges.emplace(service, MemberRanges(count, DemandsByMember(members, service)));
+  }
+  return ranges;
+}
+
 std::uint32_t QueuePlaces(const ServiceProfile& profile, std::size_t members) {
   const auto count = static_cast<std::uint32_t>(std::max<std::size_t>(members, 1));
   return (profile.queue_places + count - 1) / count;
@@ -137,6 +180,7 @@
   });
   const auto self_index = static_cast<std::size_t>(found - members.begin());
   const Division division(view, members);
+  auto ranges = RangesByService(division, members);
   for (const auto& [pool_name, parts] : division.parts()) {
     const PoolRoute& pool = view.pools.at(pool_name);
     std::vector<std::uint32_t> shares;
--- a/policy/allotment.h
+++ b/policy/allotment.h
@@ -12,7 +12,8 @@
 
 namespace wigeonlane {
 
-/// What one entry instance reported: requests running and waiting, by service.
+/// What one entry instance reported: requests running and waiting, by service, in hundredths of a
+/// slot (`kDemandUnits`).
 struct MemberDemand {
   std::string member;
   std::map<std::string, std::uint32_t> by_service;
--- a/tests/policy/allotment_test.cc
+++ b/tests/policy/allotment_test.cc
@@ -37,7 +37,7 @@
   static std::vector<MemberDemand> Members(const std::vector<std::uint32_t>& quotes) {
     std::vector<MemberDemand> members;
     for (std::size_t i = 0; i < quotes.size(); ++i) {
-      members.push_back({"m" + std::to_string(i), {{"quotes", quotes[i]}}});
+      members.push_back({"m" + std::to_string(i), {{"quotes", quotes[i] * 100}}});
     }
     return members;
   }
@@ -72,7 +72,7 @@
     for (int i = 0; i < count; ++i) {
       MemberDemand member{"m" + std::to_string(i), {}};
       for (const char* service : {"quotes", "stock", "tools"}) {
-        member.by_service[service] = *rc::gen::inRange(0U, 80U);
+        member.by_service[service] = *rc::gen::inRange(0U, 8'000U);
       }
       members.push_back(member);
     }
