--- a/daemon/node.cc
+++ b/daemon/node.cc
@@ -1,5 +1,6 @@
 #include "daemon/node.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -14,6 +15,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kSweepInterval{5};
+constexpr Duration kLongestSweep = std::chrono::microseconds(500);
 constexpr std::chrono::milliseconds kReconfigureInterval{50};
 constexpr std::chrono::milliseconds kDrainPoll{5};
 constexpr std::chrono::milliseconds kNoWait{0};
@@ -113,7 +115,7 @@
   planner_.Start(
       {.members = [this] { return peers_.Progress(); },
        .on_list = [this](const std::vector<ListedInstance>& listed) { peers_.OnList(listed); }});
-  ScheduleSweep();
+  ScheduleSweep(kSweepInterval);
   ScheduleReconfigure(kReconfigureInterval);
   for (std::size_t i = 0; i < settings_.io_threads; ++i) {
     io_threads_.emplace_back([this] { context_.run(); });
@@ -126,7 +128,7 @@
 
 PeerGroup::Hooks Node::PeerHooks() {
   return {
-      .demand = [this] { return dispatcher_.ReportedDemand(); },
+      .demand = [this] { return own_demand(); },
       .draining_in_flight = [this] { return DrainingInFlight(); },
       .next_offset = [this] { return follower_.next_offset(); },
       .has_state = [this] { return follower_.has_state(); },
@@ -187,16 +189,24 @@
 void Node::Reconfigure() {
   const auto view = View();
   if (view == nullptr) return;
-  const auto members = peers_.Demands(dispatcher_.ReportedDemand());
+  const auto own = dispatcher_.ReportedDemand();
+  {
+    const std::lock_guard lock(view_mutex_);
+    own_demand_ = own;
+  }
+  const auto members = peers_.Demands(own);
   dispatcher_.Configure(*view, ComputeAllotments(*view, members, incarnation_));
 }
 
-void Node::ScheduleSweep() {
-  sweep_timer_.expires_after(kSweepInterval);
+void Node::ScheduleSweep(Duration pause) {
+  sweep_timer_.expires_after(pause);
   sweep_timer_.async_wait([this](std::error_code error) {
     if (error) return;
+    const Instant began = clock_.Now();
     dispatcher_.Sweep();
-    ScheduleSweep();
+    // A pause of this process is no work and must not slow the next sweep down.
+    const Duration spent = std::min(clock_.Now() - began, kLongestSweep);
+    ScheduleSweep(PauseAfter(spent, kSweepInterval));
   });
 }
 
@@ -232,9 +242,30 @@
                                   {"running", lane->running()},
                                   {"waiting", lane->waiting()}});
   }
+  status["shares"] = SharesJson();
   return status.dump();
 }
 
+/// What every live member demands of each service, in hundredths of a slot, as shares are made.
+nlohmann::ordered_json Node::SharesJson() const {
+  std::map<std::string, nlohmann::ordered_json> by_service;
+  for (const MemberDemand& member : peers_.Demands(own_demand())) {
+    for (const auto& [service, demand] : member.by_service) {
+      by_service[service][member.member] = demand;
+    }
+  }
+  nlohmann::ordered_json shares = nlohmann::ordered_json::array();
+  for (const auto& [service, demand] : by_service) {
+    shares.push_back({{"service", service}, {"demand_by_member", demand}});
+  }
+  return shares;
+}
+
+std::map<std::string, std::uint32_t> Node::own_demand() const {
+  const std::lock_guard lock(view_mutex_);
+  return own_demand_;
+}
+
 void Node::RefreshMetrics() {
   metrics_.SetGauge("wigeonlane_next_offset", "", static_cast<double>(follower_.next_offset()));
   metrics_.SetGauge("wigeonlane_open_requests", "", static_cast<double>(dispatcher_.open_calls()));
--- a/daemon/node.h
+++ b/daemon/node.h
@@ -6,8 +6,10 @@
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
 #include <atomic>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <thread>
 #include <vector>
@@ -48,12 +50,14 @@
   void OnRouteView(std::shared_ptr<const RouteView> view);
   void Reconfigure();
   void Resync();
-  void ScheduleSweep();
+  void ScheduleSweep(Duration pause);
   void ScheduleReconfigure(Duration pause);
   PeerGroup::Hooks PeerHooks();
   std::map<std::string, std::uint32_t> DrainingInFlight() const;
   std::shared_ptr<const RouteView> View() const;
   std::string StatusJson() const;
+  nlohmann::ordered_json SharesJson() const;
+  std::map<std::string, std::uint32_t> own_demand() const;
   void RefreshMetrics();
 
   const NodeSettings settings_;
@@ -83,6 +87,7 @@
   std::vector<std::thread> io_threads_;
   mutable std::mutex view_mutex_;
   std::shared_ptr<const RouteView> view_;
+  std::map<std::string, std::uint32_t> own_demand_;  ///< As of the latest division of slots.
   std::atomic<bool> leaving_{false};
   std::atomic<bool> stopped_{false};
 };
--- a/policy/allotment.cc
+++ b/policy/allotment.cc
@@ -185,7 +185,7 @@
     const PoolRoute& pool = view.pools.at(pool_name);
     std::vector<std::uint32_t> shares;
     for (const PoolPart& part : parts) {
-      const auto by_member = DivideAmongMembers(part.slots, DemandsByMember(members, part.service));
+      const auto by_member = ranges.at(part.service).Next(part.slots);
       shares.insert(shares.end(), by_member.begin(), by_member.end());
     }
     const auto runners = static_cast<std::uint32_t>(pool.runners.size());
--- a/tests/policy/allotment_test.cc
+++ b/tests/policy/allotment_test.cc
@@ -58,6 +58,13 @@
   CHECK(allotments.at("stock").fleet_slots == 32);
 }
 
+TEST_CASE_METHOD(AllotmentTest,
+                 "Compute_WithASkewedBalancer_FollowsDemandOverOwnAndBorrowedSlots") {
+  const auto members = Members({50, 3, 3, 3});
+  CHECK(ComputeAllotments(SmallSite(), members, "m0").at("quotes").slots == 39);
+  CHECK(ComputeAllotments(SmallSite(), members, "m1").at("quotes").slots == 3);
+}
+
 TEST_CASE_METHOD(AllotmentTest, "Compute_ForAStranger_GivesNoSlots") {
   const auto allotments = ComputeAllotments(SmallSite(), Members({1, 1}), "unknown");
   CHECK(allotments.at("quotes").slots == 0);
