entry, tests, standin: smaller files, logic that stood twice

Read as a newcomer: front_end.cc held the acceptor and the whole of a connection (412 lines); the connection is now caller_session, with its limits and handlers named there.

--- a/entry/front_end.h
+++ b/entry/front_end.h
@@ -3,17 +3,13 @@
 #define WIGEONLANE_ENTRY_FRONT_END_H_
 
 #include <asio/io_context.hpp>
-#include <chrono>
 #include <cstdint>
-#include <functional>
 #include <memory>
-#include <optional>
-#include <string>
 
 #include "absl/status/status.h"
 #include "core/metrics.h"
 #include "core/settings.h"
-#include "entry/caller_request.h"
+#include "entry/caller_session.h"
 
 namespace wigeonlane {
 
@@ -22,20 +18,8 @@
 /// input are final and carry the verdict not-run.
 class FrontEnd {
  public:
-  struct Options {
-    Endpoint listen;
-    std::string request_id_prefix;                   ///< Unique to this incarnation.
-    std::size_t most_connections = 4096;             ///< Further connections are told to come back.
-    std::chrono::milliseconds read_timeout{10'000};  ///< For one whole request.
-    std::chrono::milliseconds idle_timeout{60'000};  ///< Between requests.
-  };
-
-  struct Handlers {
-    std::function<void(CallerRequest, Responder)> serve;
-    /// Largest body of a service; none when it is not known.
-    std::function<std::optional<std::uint32_t>(const std::string& service)> body_limit;
-    std::function<bool()> ready;
-  };
+  using Options = FrontEndOptions;
+  using Handlers = FrontEndHandlers;
 
   FrontEnd(Options options, Handlers handlers, asio::io_context* context, MetricsRegistry* metrics);
   ~FrontEnd();
--- a/standin/backend_main.cc
+++ b/standin/backend_main.cc
@@ -1,7 +1,6 @@
 /// standin-backend: one runner of a backend server for tests and trials.
 #include <atomic>
 #include <chrono>
-#include <csignal>
 #include <iostream>
 #include <memory>
 #include <semaphore>
@@ -16,11 +15,11 @@
 #include "core/text.h"
 #include "standin/execution_ledger.h"
 #include "standin/fault_switches.h"
+#include "standin/standin_main.h"
 
 namespace wigeonlane {
 namespace {
 
-constexpr std::string_view kEnvironmentPrefix = "WIGEONLANE_STANDIN_";
 constexpr std::chrono::milliseconds kPoll{5};
 constexpr std::chrono::milliseconds kPlatformTimeout{1'000};
 constexpr std::chrono::milliseconds kRegisterAgain{100};
@@ -46,10 +45,6 @@
   return kOptions;
 }
 
-std::atomic<bool> g_stop{false};
-
-void OnSignal(int /*signal*/) { g_stop = true; }
-
 /// A runner with bounded slots that answers with what it was asked, and can misbehave.
 class Runner {
  public:
@@ -262,28 +257,20 @@
   std::atomic<std::int64_t> reboot_for_ms_{0};
 };
 
-}  // namespace
-}  // namespace wigeonlane
-
-int main(int argc, char** argv) {
-  std::signal(SIGTERM, wigeonlane::OnSignal);
-  std::signal(SIGINT, wigeonlane::OnSignal);
-  std::signal(SIGPIPE, SIG_IGN);
-  const auto parsed = wigeonlane::ParseCommandLine(argc, argv, wigeonlane::Options(),
-                                                   wigeonlane::kEnvironmentPrefix);
-  if (!parsed.ok()) {
-    std::cerr << "standin-backend: " << parsed.status().message() << "\n";
-    return 2;
-  }
-  if (parsed->values.Switch("help")) {
-    std::cout << "standin-backend: a small stand-in of one runner, for tests and trials\n\n"
-              << wigeonlane::OptionHelp(wigeonlane::Options(), wigeonlane::kEnvironmentPrefix);
-    return 0;
-  }
-  auto settings = wigeonlane::ParseSettings(parsed->values);
+int Run(const SettingValues& values) {
+  auto settings = ParseSettings(values);
   if (!settings.ok()) {
     std::cerr << "standin-backend: " << settings.status().message() << "\n";
     return 2;
   }
-  return wigeonlane::BackendProcess(*std::move(settings)).Run();
+  return BackendProcess(*std::move(settings)).Run();
+}
+
+}  // namespace
+}  // namespace wigeonlane
+
+int main(int argc, char** argv) {
+  return wigeonlane::StandinMain(argc, argv, "standin-backend",
+                                 "a small stand-in of one runner, for tests and trials",
+                                 wigeonlane::Options(), &wigeonlane::Run);
 }
--- a/standin/platform_main.cc
+++ b/standin/platform_main.cc
@@ -1,7 +1,6 @@
 /// standin-platform: the platform's log, instance list and reboots for tests and trials.
 #include <atomic>
 #include <chrono>
-#include <csignal>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -16,11 +15,11 @@
 #include "standin/fault_switches.h"
 #include "standin/platform_instances.h"
 #include "standin/platform_log.h"
+#include "standin/standin_main.h"
 
 namespace wigeonlane {
 namespace {
 
-constexpr std::string_view kEnvironmentPrefix = "WIGEONLANE_STANDIN_";
 constexpr std::size_t kServerThreads = 192;
 constexpr std::chrono::milliseconds kSignalPoll{20};
 
@@ -36,10 +35,6 @@
   return kOptions;
 }
 
-std::atomic<bool> g_stop{false};
-
-void OnSignal(int /*signal*/) { g_stop = true; }
-
 Offset OffsetParameter(const httplib::Request& request, const char* name, Offset fallback) {
   Offset value = fallback;
   if (!request.has_param(name) || !absl::SimpleAtoi(request.get_param_value(name), &value)) {
@@ -206,19 +201,7 @@
 }  // namespace wigeonlane
 
 int main(int argc, char** argv) {
-  std::signal(SIGTERM, wigeonlane::OnSignal);
-  std::signal(SIGINT, wigeonlane::OnSignal);
-  std::signal(SIGPIPE, SIG_IGN);
-  const auto parsed = wigeonlane::ParseCommandLine(argc, argv, wigeonlane::Options(),
-                                                   wigeonlane::kEnvironmentPrefix);
-  if (!parsed.ok()) {
-    std::cerr << "standin-platform: " << parsed.status().message() << "\n";
-    return 2;
-  }
-  if (parsed->values.Switch("help")) {
-    std::cout << "standin-platform: a small stand-in of the platform, for tests and trials\n\n"
-              << wigeonlane::OptionHelp(wigeonlane::Options(), wigeonlane::kEnvironmentPrefix);
-    return 0;
-  }
-  return wigeonlane::Run(parsed->values);
+  return wigeonlane::StandinMain(argc, argv, "standin-platform",
+                                 "a small stand-in of the platform, for tests and trials",
+                                 wigeonlane::Options(), &wigeonlane::Run);
 }
--- a/tests/entry/runner_client_test.cc
+++ b/tests/entry/runner_client_test.cc
@@ -14,7 +14,7 @@
 
 class RunnerClientTest {
  protected:
-  RunnerClientTest() : client_(clock_) {}
+  RunnerClientTest() : clock_(), client_(clock_) {}
 
   AttemptResult Send(const ScriptedServer& server, const std::string& id,
                      Duration deadline = kLongDeadline) {
