--- a/tests/entry/runner_client_test.cc
+++ b/tests/entry/runner_client_test.cc
@@ -32,7 +32,7 @@
   }
 
   /// Always the same bytes.
-  static ScriptedServer::Script Always(std::vector<std::string> parts, bool close = false,
+  static ScriptedServer::Script Always(const std::vector<std::string>& parts, bool close = false,
                                        std::chrono::milliseconds pause = {}) {
     return [=](const std::string&) { return ScriptedAnswer{parts, pause, close}; };
   }
