cells: a fencing token for each life of a runner

Traced: a start was held up, its run settled, its task done elsewhere and the end noted; the runner restarted, the owner ordered the stop that forbids the old run on the new life at once, but that stop was held up too, and the start came first. A new life has seen no token, so it took the order of our own tenure. Change: the token now rises with each life of a runner that the owner takes in, so any one call to the new life (a look follows within 30 ms) makes it refuse what was sent to its predecessor. A refusal for an order to a life that is gone does not depose the owner. The world's check is stricter than before: a late start used to be left out until 2 ms after the owner had taken in the new life's report; now only until the first call arrives that was meant for that life.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -88,6 +88,11 @@
   void Committed(CellTime time);
   /// The append under way was refused for good: another instance owns the cell.
   void Fenced() { deposed_ = true; }
+  /// A runner refused an order because it has seen a higher token. That deposes us unless the order
+  /// was meant for a former life, and the token is our own for its present one.
+  void FencedBy(RunnerKey key) {
+    if (runners_.contains(key)) Fenced();
+  }
 
   void StartAnswered(const StartOrder& order, OrderOutcome outcome, CellTime time);
   void StopAnswered(const StopOrder& order, OrderOutcome outcome, CellTime time);
@@ -106,11 +111,15 @@
 
   CellNumber number() const { return number_; }
   TenureToken token() const { return token_; }
+  FenceToken FenceOf(RunnerKey key) const { return token_ * kLivesPerTenure + key; }
   const Runner* FindRunner(RunnerKey key) const;
   const CellCounters& counters() const { return counters_; }
   std::size_t job_count() const { return jobs_.size(); }
 
  private:
+  /// More lives of runners than one tenure of a cell sees; keeps tokens of tenures apart.
+  static constexpr FenceToken kLivesPerTenure = 1ULL << 20U;
+
   struct JobEntry {
     explicit JobEntry(Job given) : job(std::move(given)) {}
 
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -244,7 +244,7 @@
   void Send(const StartOrder& order) {
     const RunnerListing* runner = ListingOf(order.runner);
     if (runner == nullptr) return;
-    runners_->Start(*runner, token_, order, options_.order_timeout,
+    runners_->Start(*runner, cell_->FenceOf(order.runner), order, options_.order_timeout,
                     Guarded<OrderOutcome>([this, order](OrderOutcome outcome) {
                       cell_->StartAnswered(order, outcome, Time());
                       Pump();
@@ -254,7 +254,7 @@
   void Send(const StopOrder& order) {
     const RunnerListing* runner = ListingOf(order.runner);
     if (runner == nullptr) return;
-    runners_->Stop(*runner, token_, order, options_.order_timeout,
+    runners_->Stop(*runner, cell_->FenceOf(order.runner), order, options_.order_timeout,
                    Guarded<OrderOutcome>([this, order](OrderOutcome outcome) {
                      cell_->StopAnswered(order, outcome, Time());
                      Pump();
@@ -264,9 +264,9 @@
   void Send(const PaceOrder& order) {
     const RunnerListing* runner = ListingOf(order.runner);
     if (runner == nullptr) return;
-    runners_->Pace(*runner, token_, order, options_.order_timeout,
-                   Guarded<OrderOutcome>([this](OrderOutcome outcome) {
-                     if (outcome.answer == OrderAnswer::kFenced) cell_->Fenced();
+    runners_->Pace(*runner, cell_->FenceOf(order.runner), order, options_.order_timeout,
+                   Guarded<OrderOutcome>([this, order](OrderOutcome outcome) {
+                     if (outcome.answer == OrderAnswer::kFenced) cell_->FencedBy(order.runner);
                      Pump();
                    }));
   }
@@ -276,7 +276,7 @@
     if (runner == nullptr) return;
     const std::weak_ptr<int> alive = alive_;
     runners_->Look(
-        *runner, token_, order, options_.order_timeout,
+        *runner, cell_->FenceOf(order.runner), order, options_.order_timeout,
         [this, alive, order](OrderAnswer answer, const std::optional<RunnerReport>& report) {
           if (alive.expired()) return;
           cell_->Looked(order, answer, report, Time());
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -212,7 +212,7 @@
   Runner* runner = FindRunner(key);
   if (runner == nullptr) return;
   runner->looking = false;
-  if (answer == OrderAnswer::kFenced) return Fenced();
+  if (answer == OrderAnswer::kFenced) return FencedBy(key);
   if (answer == OrderAnswer::kWrongLife) {
     return LoseRunner(key, "another life at its address", time);
   }
@@ -367,7 +367,7 @@
 }
 
 void Cell::StartAnswered(const StartOrder& order, OrderOutcome outcome, CellTime time) {
-  if (outcome.answer == OrderAnswer::kFenced) return Fenced();
+  if (outcome.answer == OrderAnswer::kFenced) return FencedBy(order.runner);
   Runner* runner = FindRunner(order.runner);
   if (runner == nullptr) return;
   LiveRun* run = FindRun(runner, order.task, order.run);
@@ -414,7 +414,7 @@
 }
 
 void Cell::StopAnswered(const StopOrder& order, OrderOutcome outcome, CellTime time) {
-  if (outcome.answer == OrderAnswer::kFenced) return Fenced();
+  if (outcome.answer == OrderAnswer::kFenced) return FencedBy(order.runner);
   if (outcome.answer == OrderAnswer::kWrongLife) {
     return LoseRunner(order.runner, "another life at its address", time);
   }
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -21,6 +21,10 @@
 /// Fencing token of one tenure of a cell; later owners have higher ones.
 using TenureToken = std::uint64_t;
 
+/// Fencing token of one life of a runner within one tenure. It rises with each life under an id, so
+/// that a new life refuses what was sent to a former one as soon as its owner has called it once.
+using FenceToken = std::uint64_t;
+
 /// A time on a runner's own clock, since that life of the runner began.
 using RunnerClock = std::chrono::milliseconds;
 
--- a/cells/job_store.h
+++ b/cells/job_store.h
@@ -72,10 +72,10 @@
 concept RunnerPort = requires(T& runners, const RunnerListing& runner, const StartOrder& start,
                               const StopOrder& stop, const PaceOrder& pace, const LookOrder& look,
                               std::chrono::milliseconds timeout) {
-  runners.Start(runner, TenureToken{}, start, timeout, std::function<void(OrderOutcome)>());
-  runners.Stop(runner, TenureToken{}, stop, timeout, std::function<void(OrderOutcome)>());
-  runners.Pace(runner, TenureToken{}, pace, timeout, std::function<void(OrderOutcome)>());
-  runners.Look(runner, TenureToken{}, look, timeout,
+  runners.Start(runner, FenceToken{}, start, timeout, std::function<void(OrderOutcome)>());
+  runners.Stop(runner, FenceToken{}, stop, timeout, std::function<void(OrderOutcome)>());
+  runners.Pace(runner, FenceToken{}, pace, timeout, std::function<void(OrderOutcome)>());
+  runners.Look(runner, FenceToken{}, look, timeout,
                std::function<void(OrderAnswer, std::optional<RunnerReport>)>());
 };
 
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -17,7 +17,6 @@
 constexpr milliseconds kOrderTimeout{600};
 constexpr milliseconds kSettleTime{45'000};
 constexpr milliseconds kLateLeast{2'000};
-constexpr milliseconds kOrderLatency{1};
 constexpr TenureToken kTokenStep = 8;
 constexpr std::string_view kService = "press";
 
@@ -255,7 +254,7 @@
 }
 
 void CellWorld::SendStart(std::size_t index, const StartOrder& order) {
-  const TenureToken token = owners_[index]->token;
+  const FenceToken fence = owners_[index]->cell->FenceOf(order.runner);
   const Runner* listed = std::as_const(*owners_[index]->cell).FindRunner(order.runner);
   if (listed == nullptr) return;
   const std::string id = listed->listing.id;
@@ -291,8 +290,9 @@
       const auto job = std::find_if(submitted_.begin(), submitted_.end(),
                                     [&](const auto& each) { return each.id == order.task.job; });
       const StepSpec& step = job->record.spec.steps[order.task.step];
+      if (!late && runner.listing.born == known) runner.NoteAddressed();
       const OrderAnswer result =
-          runner.Start(token, order, step, FateOf(order, step), late, now_, &oracle_);
+          runner.Start(fence, order, step, FateOf(order, step), late, now_, &oracle_);
       const RunnerClock clock = runner.Clock(now_);
       if (!late) After(milliseconds(1), [answer, result, clock] { answer({result, clock}); });
     }
@@ -300,10 +300,11 @@
 }
 
 void CellWorld::SendStop(std::size_t index, const StopOrder& order) {
-  const TenureToken token = owners_[index]->token;
+  const FenceToken fence = owners_[index]->cell->FenceOf(order.runner);
   const Runner* listed = std::as_const(*owners_[index]->cell).FindRunner(order.runner);
   if (listed == nullptr) return;  // Lost since the order was decided.
   const std::string id = listed->listing.id;
+  const milliseconds known = listed->listing.born;
   const bool late = late_orders_ > 0 && late_orders_-- > 0;
   auto answered = std::make_shared<bool>(false);
   const auto answer = [this, index, order, answered](OrderOutcome outcome) {
@@ -314,10 +315,11 @@
     });
   };
   After(kOrderTimeout, [answer] { answer({OrderAnswer::kUnanswered, {}}); });
-  After(late ? kLateLeast : milliseconds(1), [this, id, order, token, late, answer] {
+  After(late ? kLateLeast : milliseconds(1), [this, id, order, fence, late, known, answer] {
     for (SimRunner& runner : runners_) {
       if (runner.listing.id != id || !runner.alive || now_ < runner.cut_until) continue;
-      const OrderAnswer result = runner.Stop(token, order, now_, &oracle_);
+      if (!late && runner.listing.born == known) runner.NoteAddressed();
+      const OrderAnswer result = runner.Stop(fence, order, now_, &oracle_);
       const RunnerClock clock = runner.Clock(now_);
       if (!late) After(milliseconds(1), [answer, result, clock] { answer({result, clock}); });
     }
@@ -332,44 +334,41 @@
     if (runners_[i].listing.id != id) continue;
     const milliseconds born = runners_[i].listing.born;
     const bool same_life = connections_[{index, i}] == born;
-    After(milliseconds(1), [this, index, order, i, born, same_life] {
-      AnswerLook(index, order, i, born, same_life, now_ + order.wait);
+    const bool addressed = listed->listing.born == born;
+    const FenceToken fence = owners_[index]->cell->FenceOf(order.runner);
+    After(milliseconds(1), [=, this] {
+      const bool reached = runners_[i].listing.born == born && now_ >= runners_[i].cut_until;
+      if (addressed && reached) runners_[i].NoteAddressed();
+      AnswerLook(index, order, {i, born, fence, same_life, now_ + order.wait});
     });
   }
 }
 
 /// Answers once the runner has an end to tell or the wait is over.
-void CellWorld::AnswerLook(std::size_t index, const LookOrder& order, std::size_t which,
-                           milliseconds born, bool same_life, Instant until) {
-  SimRunner& runner = runners_[which];
-  const auto told = [this, index, order, which, born](OrderAnswer answer,
-                                                      const std::optional<RunnerReport>& report) {
+void CellWorld::AnswerLook(std::size_t index, const LookOrder& order, const OpenLook& look) {
+  SimRunner& runner = runners_[look.runner];
+  const auto told = [this, index, order](OrderAnswer answer,
+                                         const std::optional<RunnerReport>& report) {
     OnOwner(index, [=, this](Owner* owner) {
       owner->cell->Looked(order, answer, report, Time());
       Pump(index);
-      if (!report) return;
-      After(kOrderLatency * 2, [this, which, born] {
-        if (runners_[which].listing.born == born) runners_[which].NoteOwnerKnows();
-      });
     });
   };
-  if (!runner.alive || now_ < runner.cut_until || runner.listing.born != born) {
+  if (!runner.alive || now_ < runner.cut_until || runner.listing.born != look.born) {
     return After(kOrderTimeout, [told] { told(OrderAnswer::kUnanswered, {}); });
   }
   LookOrder sent = order;
-  if (!same_life) {
+  if (!look.same_life) {
     sent.forget_up_to = 0;
     sent.lease.reset();
   }
-  const OrderAnswer answer = runner.Look(owners_[index]->token, sent, now_, &oracle_);
-  if (answer == OrderAnswer::kDone && !runner.HasNews() && now_ < until) {
-    return After(milliseconds(20), [this, index, order, which, born, same_life, until] {
-      AnswerLook(index, order, which, born, same_life, until);
-    });
+  const OrderAnswer answer = runner.Look(look.fence, sent, now_, &oracle_);
+  if (answer == OrderAnswer::kDone && !runner.HasNews() && now_ < look.until) {
+    return After(milliseconds(20), [this, index, order, look] { AnswerLook(index, order, look); });
   }
-  connections_[{index, which}] = born;
+  connections_[{index, look.runner}] = look.born;
   auto report = answer == OrderAnswer::kDone ? std::optional(runner.Report(now_)) : std::nullopt;
-  if (report) report->forgot = same_life;
+  if (report) report->forgot = look.same_life;
   After(milliseconds(1), [told, answer, report] { told(answer, report); });
 }
 
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -76,6 +76,15 @@
     Instant down_until{};
   };
 
+  /// A look that waits at a runner.
+  struct OpenLook {
+    std::size_t runner = 0;
+    std::chrono::milliseconds born{0};  ///< Of the life that it reached.
+    FenceToken fence = 0;
+    bool same_life = false;  ///< The connection has carried a report of that life before.
+    Instant until{};
+  };
+
   struct Submitted {
     JobId id;
     JobRecord record;
@@ -97,8 +106,7 @@
   void SendStart(std::size_t owner, const StartOrder& order);
   void SendStop(std::size_t owner, const StopOrder& order);
   void SendLook(std::size_t owner, const LookOrder& order);
-  void AnswerLook(std::size_t owner, const LookOrder& order, std::size_t runner,
-                  std::chrono::milliseconds born, bool same_life, Instant until);
+  void AnswerLook(std::size_t owner, const LookOrder& order, const OpenLook& look);
   SimRunner* Reach(const Runner* listed, bool* wrong_life);
   std::vector<RunnerListing> Listings() const;
   void ListRunners();
--- a/tests/cells/cell_world_test.cc
+++ b/tests/cells/cell_world_test.cc
@@ -154,5 +154,21 @@
   CHECK(world_.broken().empty());
 }
 
+TEST_CASE_METHOD(CellWorldTest, "Stop_HeldUpOnTheNextLife_KeepsTheTaskUnplacedUntilItIsForbidden") {
+  world_.Submit(17, 4);
+  world_.Advance(milliseconds(50));
+  world_.LateOrders(1);
+  world_.LoseAppendAnswers(1);
+  world_.Submit(0, 4);
+  world_.Advance(milliseconds(8'500));
+  world_.Freeze(milliseconds(1'100));
+  world_.RestartRunner(0);
+  world_.LateOrders(2);
+  world_.Advance(milliseconds(1'700));
+  world_.SettleAndCheck();
+  INFO(world_.broken());
+  CHECK(world_.broken().empty());
+}
+
 }  // namespace
 }  // namespace wigeonlane
--- a/tests/cells/sim_runner.h
+++ b/tests/cells/sim_runner.h
@@ -61,14 +61,14 @@
     }
   }
 
-  OrderAnswer Start(TenureToken token, const StartOrder& order, const StepSpec& step, TaskFate fate,
+  OrderAnswer Start(FenceToken fence, const StartOrder& order, const StepSpec& step, TaskFate fate,
                     bool late, Instant now, JobOracle* oracle) {
     Advance(now, oracle);
-    // A start that was sent to a former life and arrives before an owner can have forbidden it here
-    // cannot be told from a good one, whatever the owner does: it is left out.
-    if (late && !owner_knows_) return OrderAnswer::kUnanswered;
-    if (token < token_) return OrderAnswer::kFenced;
-    token_ = token;
+    // A start to a former life that arrives before any call that was meant for this one cannot be
+    // told from a good one, whatever the owner does: it is left out.
+    if (late && !addressed_) return OrderAnswer::kUnanswered;
+    if (fence < fence_) return OrderAnswer::kFenced;
+    fence_ = fence;
     const RunnerClock clock = Clock(now);
     if (order.deadline < clock) return OrderAnswer::kTooLate;
     lease_ = std::max(lease_, std::min(order.deadline, clock + kLongestLease));
@@ -81,10 +81,10 @@
     return OrderAnswer::kDone;
   }
 
-  OrderAnswer Stop(TenureToken token, const StopOrder& order, Instant now, JobOracle* oracle) {
+  OrderAnswer Stop(FenceToken fence, const StopOrder& order, Instant now, JobOracle* oracle) {
     Advance(now, oracle);
-    if (token < token_) return OrderAnswer::kFenced;
-    token_ = token;
+    if (fence < fence_) return OrderAnswer::kFenced;
+    fence_ = fence;
     highest_[order.task] = std::max(highest_[order.task], order.run);
     const auto running = runs_.find(order.task);
     if (running != runs_.end() && running->second.run <= order.run) {
@@ -93,13 +93,13 @@
     return OrderAnswer::kDone;
   }
 
-  /// The owner has taken this life's report in, and what it ordered then has arrived.
-  void NoteOwnerKnows() { owner_knows_ = true; }
+  /// A call arrived from an owner that knew which life it called.
+  void NoteAddressed() { addressed_ = true; }
 
-  OrderAnswer Look(TenureToken token, const LookOrder& order, Instant now, JobOracle* oracle) {
+  OrderAnswer Look(FenceToken fence, const LookOrder& order, Instant now, JobOracle* oracle) {
     Advance(now, oracle);
-    if (token < token_) return OrderAnswer::kFenced;
-    token_ = token;
+    if (fence < fence_) return OrderAnswer::kFenced;
+    fence_ = fence;
     if (order.lease) lease_ = std::max(lease_, std::min(*order.lease, Clock(now) + kLongestLease));
     while (!ended_.empty() && ended_.front().number <= order.forget_up_to) {
       oracle->Noted(oracle_numbers_.front());
@@ -159,8 +159,8 @@
   }
 
   Instant born_at_;
-  TenureToken token_ = 0;
-  bool owner_knows_ = false;
+  FenceToken fence_ = 0;
+  bool addressed_ = false;
   RunnerClock lease_{0};
   Runs runs_;
   std::map<TaskId, RunNumber> highest_;
