cells: a deposed owner gives up the duty that goes with its cell

The host was dropped, but the coordinator of machines was not told. When the store came back at 11.8 s the renewal extended the coordinator's authority as well; the loss of the cell, which the same renewal brought, returned early because there was no host any more. Two instances then ordered upkeep beside each other. Ruled out: an unanswered order (all are answered 0 or 1 in the log), a short stay of machines (2 s by the platform's clock). Change: CellTable holds the tenures of an instance and ends the duty on every way out of its cell, also when there is no host left to release.

--- /dev/null
+++ b/cells/cell_table.h
@@ -0,0 +1,107 @@
+/// The tenures that run on this instance, and the duty that goes with one of the cells.
+#ifndef WIGEONLANE_CELLS_CELL_TABLE_H_
+#define WIGEONLANE_CELLS_CELL_TABLE_H_
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+
+#include "cells/cell_types.h"
+#include "core/logging.h"
+#include "core/text.h"
+
+namespace wigeonlane {
+
+/// Work that only the owner of one cell does, under the token of its tenure.
+struct CellDuty {
+  CellNumber cell = 0;
+  std::function<void(TenureToken)> begin;
+  /// Nothing is done under the token after this. May be called when the duty is not held.
+  std::function<void()> end;
+};
+
+/// Holds one `Host` for each cell that is owned here. A host that has ended is destroyed outside
+/// of its own callbacks.
+template <typename Host>
+class CellTable {
+ public:
+  using MakeHost = std::function<std::unique_ptr<Host>(CellNumber, TenureToken)>;
+  /// Called when a tenure ended although the group still deals the cell to us.
+  using Deposed = std::function<void(CellNumber, TenureToken)>;
+
+  CellTable(asio::io_context* io, MakeHost make_host, Deposed deposed, CellDuty duty)
+      : io_(io),
+        make_host_(std::move(make_host)),
+        deposed_(std::move(deposed)),
+        duty_(std::move(duty)) {}
+
+  void Gain(CellNumber cell, TenureToken token) {
+    LogDecision("cell_gained", {{"cell", Concat(cell)}, {"token", Concat(token)}});
+    Host* host = (hosts_[cell] = make_host_(cell, token)).get();
+    if (cell == duty_.cell) duty_.begin(token);
+    host->Start([this, cell, token] {
+      LogWarning("cell_deposed", {{"cell", Concat(cell)}, {"token", Concat(token)}});
+      if (cell == duty_.cell) duty_.end();
+      asio::post(*io_, [this, cell, token] {
+        Erase(cell, token);
+        deposed_(cell, token);
+      });
+    });
+  }
+
+  /// `released` is called once the host has stored what it decided, or at once when there is none.
+  void Lose(CellNumber cell, std::function<void()> released) {
+    if (cell == duty_.cell) duty_.end();
+    const auto found = hosts_.find(cell);
+    if (found == hosts_.end()) return asio::post(*io_, std::move(released));
+    const TenureToken token = found->second->token();
+    LogDecision("cell_lost", {{"cell", Concat(cell)}, {"token", Concat(token)}});
+    found->second->Release([this, cell, token, released = std::move(released)] {
+      asio::post(*io_, [this, cell, token, released] {
+        Erase(cell, token);
+        released();
+      });
+    });
+  }
+
+  /// Ends all tenures; `done` is called once the last host has stored what it decided.
+  void ReleaseAll(const std::function<void()>& done) {
+    duty_.end();
+    if (hosts_.empty()) return asio::post(*io_, done);
+    auto left = std::make_shared<std::size_t>(hosts_.size());
+    for (auto& [cell, host] : hosts_) {
+      host->Release([this, left, done] {
+        if (--*left == 0) asio::post(*io_, done);
+      });
+    }
+  }
+
+  void Clear() { hosts_.clear(); }
+
+  Host* Find(CellNumber cell) const {
+    const auto found = hosts_.find(cell);
+    return found == hosts_.end() ? nullptr : found->second.get();
+  }
+
+  const std::map<CellNumber, std::unique_ptr<Host>>& hosts() const { return hosts_; }
+
+ private:
+  /// A later tenure of the cell may have begun meanwhile.
+  void Erase(CellNumber cell, TenureToken token) {
+    const auto found = hosts_.find(cell);
+    if (found != hosts_.end() && found->second->token() == token) hosts_.erase(found);
+  }
+
+  asio::io_context* io_;
+  const MakeHost make_host_;
+  const Deposed deposed_;
+  const CellDuty duty_;
+  std::map<CellNumber, std::unique_ptr<Host>> hosts_;
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_CELLS_CELL_TABLE_H_
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -1,6 +1,5 @@
 #include "daemon/job_instance.h"
 
-#include <asio/post.hpp>
 #include <csignal>
 #include <set>
 #include <utility>
@@ -62,11 +61,23 @@
                [this] { ownership_.RefreshOwners(); }}),
       callers_(&routes_, &router_, settings_.partitions, &metrics_),
       ownership_(&io_, &store_, &clock_, GroupOptions(settings_),
-                 {[this](CellNumber cell, TenureToken token) { GainCell(cell, token); },
+                 {[this](CellNumber cell, TenureToken token) { cells_.Gain(cell, token); },
                   [this](CellNumber cell, std::function<void()> released) {
-                    LoseCell(cell, std::move(released));
+                    cells_.Lose(cell, std::move(released));
                   },
                   [this](Instant sent) { TakeRenewal(sent); }}),
+      cells_(
+          &io_, [this](CellNumber cell, TenureToken token) { return MakeHost(cell, token); },
+          [this](CellNumber cell, TenureToken token) {
+            if (!draining_) ownership_.Reclaim(cell, token);
+          },
+          {kCoordinatorCell,
+           [this](TenureToken token) {
+             if (coordinator_ != nullptr) coordinator_->Start(token);
+           },
+           [this] {
+             if (coordinator_ != nullptr) coordinator_->Stop();
+           }}),
       operator_watch_(&io_, &store_, {"keyed.op", kOperatorWait, std::chrono::milliseconds(0)},
                       [this](const std::set<std::string>& keys) { TakeOperatorChanges(keys); }),
       directory_(&io_, &store_, [this] { UpdateRunners(); }),
@@ -166,7 +177,7 @@
 
 void JobInstance::TakeRenewal(Instant sent) {
   const Instant until = sent + settings_.cell.authority;
-  for (auto& [cell, host] : hosts_) host->ExtendAuthority(until);
+  for (const auto& [cell, host] : cells_.hosts()) host->ExtendAuthority(until);
   if (coordinator_ != nullptr) coordinator_->ExtendAuthority(until);
 }
 
@@ -191,40 +202,12 @@
   coordinator_->SetPools(std::move(pools));
 }
 
-void JobInstance::GainCell(CellNumber cell, TenureToken token) {
-  LogDecision("cell_gained", {{"cell", Concat(cell)}, {"token", Concat(token)}});
+std::unique_ptr<JobInstance::Host> JobInstance::MakeHost(CellNumber cell, TenureToken token) {
   auto host =
       std::make_unique<Host>(&io_, &store_, &runners_, &clock_, cell, token, settings_.cell);
   host->ExtendAuthority(clock_.Now() + settings_.cell.authority);
   GiveRunners(cell, host.get());
-  Host* started = host.get();
-  hosts_[cell] = std::move(host);
-  if (cell == kCoordinatorCell && coordinator_ != nullptr) coordinator_->Start(token);
-  started->Start([this, cell, token] {
-    LogWarning("cell_deposed", {{"cell", Concat(cell)}, {"token", Concat(token)}});
-    asio::post(io_, [this, cell, token] { DropHost(cell, token); });
-  });
-}
-
-void JobInstance::LoseCell(CellNumber cell, std::function<void()> released) {
-  const auto found = hosts_.find(cell);
-  if (found == hosts_.end()) return;
-  const TenureToken token = found->second->token();
-  if (cell == kCoordinatorCell && coordinator_ != nullptr) coordinator_->Stop();
-  LogDecision("cell_lost", {{"cell", Concat(cell)}, {"token", Concat(token)}});
-  found->second->Release([this, cell, token, released = std::move(released)] {
-    asio::post(io_, [this, cell, token, released] {
-      const auto held = hosts_.find(cell);
-      if (held != hosts_.end() && held->second->token() == token) hosts_.erase(held);
-      released();
-    });
-  });
-}
-
-void JobInstance::DropHost(CellNumber cell, TenureToken token) {
-  const auto found = hosts_.find(cell);
-  if (found != hosts_.end() && found->second->token() == token) hosts_.erase(found);
-  if (!draining_) ownership_.Reclaim(cell, token);
+  return host;
 }
 
 void JobInstance::GiveRunners(CellNumber cell, Host* host) {
@@ -234,7 +217,7 @@
 }
 
 void JobInstance::UpdateRunners() {
-  for (auto& [cell, host] : hosts_) GiveRunners(cell, host.get());
+  for (const auto& [cell, host] : cells_.hosts()) GiveRunners(cell, host.get());
 }
 
 std::optional<Endpoint> JobInstance::OwnerAddress(CellNumber cell) const {
@@ -250,9 +233,8 @@
     ownership_.RefreshOwners();
     return answered({CallVerdict::kReady});
   }
-  const auto found = hosts_.find(call.cell);
-  if (found == hosts_.end()) return answered({CallVerdict::kNotOwner});
-  Host* host = found->second.get();
+  Host* host = cells_.Find(call.cell);
+  if (host == nullptr) return answered({CallVerdict::kNotOwner});
   switch (call.verb) {
     case CellVerb::kSubmit:
       if (!call.record) return answered({CallVerdict::kNotOwner});
@@ -277,15 +259,8 @@
 void JobInstance::StartShutdown() {
   draining_ = true;
   shutdown_since_ = clock_.Now();
-  LogInfo("stopping", {{"instance", settings_.instance}, {"cells", Concat(hosts_.size())}});
-  auto left = std::make_shared<std::size_t>(hosts_.size());
-  for (auto& [cell, host] : hosts_) {
-    host->Release([this, left] {
-      if (--*left == 0) asio::post(io_, [this] { LeaveGroup(); });
-    });
-  }
-  if (coordinator_ != nullptr) coordinator_->Stop();
-  if (hosts_.empty()) return LeaveGroup();
+  LogInfo("stopping", {{"instance", settings_.instance}, {"cells", Concat(cells_.hosts().size())}});
+  cells_.ReleaseAll([this] { LeaveGroup(); });
   shutdown_timer_.expires_after(kReleaseTime);
   shutdown_timer_.async_wait([this](asio::error_code error) {
     if (!error) LeaveGroup();
@@ -294,7 +269,7 @@
 
 void JobInstance::LeaveGroup() {
   if (std::exchange(left_, true)) return;
-  hosts_.clear();
+  cells_.Clear();
   ownership_.Leave([this] {
     std::set<Endpoint> told;
     for (const auto& [cell, member] : ownership_.owners()) {
@@ -322,7 +297,7 @@
 }
 
 void JobInstance::UpdateGauges() {
-  for (const auto& [cell, host] : hosts_) {
+  for (const auto& [cell, host] : cells_.hosts()) {
     if (host->cell() == nullptr) continue;
     const std::string label = Concat("cell=\"", cell, "\"");
     const CellCounters& counters = host->cell()->counters();
--- a/daemon/job_instance.h
+++ b/daemon/job_instance.h
@@ -13,6 +13,7 @@
 #include "absl/status/status.h"
 #include "cells/call_router.h"
 #include "cells/cell_host.h"
+#include "cells/cell_table.h"
 #include "cells/ownership.h"
 #include "core/boot_clock.h"
 #include "core/metrics.h"
@@ -48,9 +49,7 @@
   void TakeConfig();
   void TakeWaves();
   void TakeRenewal(Instant sent);
-  void GainCell(CellNumber cell, TenureToken token);
-  void LoseCell(CellNumber cell, std::function<void()> released);
-  void DropHost(CellNumber cell, TenureToken token);
+  std::unique_ptr<Host> MakeHost(CellNumber cell, TenureToken token);
   void UpdateRunners();
   void GiveRunners(CellNumber cell, Host* host);
   std::optional<Endpoint> OwnerAddress(CellNumber cell) const;
@@ -73,7 +72,7 @@
   std::unique_ptr<MachineClient> machines_;         ///< Null where there is no machine API.
   std::unique_ptr<UpkeepCoordinator> coordinator_;  ///< As above.
   Ownership<StoreClient, BootClock> ownership_;
-  std::map<CellNumber, std::unique_ptr<Host>> hosts_;
+  CellTable<Host> cells_;
   KeyedWatch operator_watch_;
   RunnerDirectory directory_;
   FrameServer peers_;
