cells: queues whose advisor decides where a step may run

Cause: the path was missing. A start on a queue with Advice is refused without a ticket, so its jobs would never have run (LOST). No queue of the two sites has one now, but the contract is in force there. Runners that were excluded are not asked about again; an expired or refused ticket is fetched anew. AdvisorClient speaks to it. Ruled out: asking about all runners of the service at once (each named runner takes time), and one question a task (the answer holds for the step).

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "absl/status/status.h"
+#include "absl/status/statusor.h"
 #include "cells/cell_options.h"
 #include "cells/cell_types.h"
 #include "cells/commit_queue.h"
@@ -23,6 +24,7 @@
 #include "jobs/job_progress.h"
 #include "scheduling/estimate_model.h"
 #include "scheduling/job_order.h"
+#include "scheduling/step_admission.h"
 
 namespace wigeonlane {
 
@@ -100,6 +102,8 @@
   void Looked(const LookOrder& order, OrderAnswer answer, const std::optional<RunnerReport>& report,
               CellTime time);
 
+  void Advised(const AdviseOrder& order, const absl::StatusOr<Advice>& advice, CellTime time);
+
   Outbox TakeOutbox() { return std::exchange(outbox_, {}); }
 
   /// A runner or the store has seen a higher token: nothing may be done any more.
@@ -131,6 +135,8 @@
     Instant ended_at{};
     std::vector<CallNumber> accept_calls;
     std::vector<CallNumber> cancel_calls;
+    /// By occurrence and step; only of queues with an advisor.
+    std::map<std::pair<std::uint32_t, std::uint32_t>, StepAdmission> admissions;
   };
 
   /// What ends with a task: it alone, or everything on its runner.
@@ -205,6 +211,9 @@
   void Start(JobEntry* entry, const TaskId& id, Runner* runner, RunNumber run, CellTime time);
   RunNumber NextRun(const JobEntry& entry, RunNumber last) const;
 
+  static const StepAdmission* FindAdmission(const JobEntry& entry, const TaskId& task);
+  void AskAdvisor(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, Instant now);
+
   const CellNumber number_;
   const TenureToken token_;
   const CellOptions options_;
@@ -225,6 +234,7 @@
   std::unordered_set<RunnerKey> unsettled_;  ///< Predecessor's runners not heard from yet.
   RunnerKey last_key_ = kNoRunner;
   bool schedule_wanted_ = false;
+  std::uint32_t questions_ = 0;  ///< To the advisor, not answered yet.
 
   EstimateModel estimates_;
   CellCounters counters_;
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -185,6 +185,7 @@
     for (const StartOrder& order : outbox.starts) Send(order);
     for (const PaceOrder& order : outbox.paces) Send(order);
     for (const LookOrder& order : outbox.looks) Send(order);
+    for (const AdviseOrder& order : outbox.questions) Send(order);
     if (cell_->deposed()) return End();
     if (released_ && cell_->flushed() && calls_.empty()) return FinishRelease();
     WakeLater();
@@ -284,6 +285,14 @@
         });
   }
 
+  void Send(const AdviseOrder& order) {
+    runners_->Advise(
+        order, Guarded<absl::StatusOr<Advice>>([this, order](const absl::StatusOr<Advice>& advice) {
+          cell_->Advised(order, advice, Time());
+          Pump();
+        }));
+  }
+
   /// A callback that does nothing once this host is gone.
   template <typename T>
   std::function<void(T)> Guarded(std::function<void(T)> callback) {
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -404,6 +404,11 @@
       runner->blocked_until = time.now + kUnhealthyPause;
       runner->health.NoteFailure(order.task.job, time.now);
       break;
+    case OrderAnswer::kNoTicket:
+      if (JobEntry* entry = FindJob(order.task.job)) {
+        entry->admissions[{order.task.occurrence, order.task.step}].DropTicket(order.runner);
+      }
+      break;
     case OrderAnswer::kInvalid:
       runner->blocked_until = time.now + kInvalidPause;
       break;
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -76,7 +76,8 @@
     if (tasks[index].phase != TaskPhase::kWaiting) continue;
     const TaskId id{entry->job.id(), occurrence, step, index};
     Runner* runner = ChooseRunner(*entry, id, RackOfStep(*entry, occurrence, step), time.now);
-    if (runner == nullptr) return;  // Its other tasks need as much.
+    // The step's other tasks need as much.
+    if (runner == nullptr) return AskAdvisor(entry, occurrence, step, time.now);
     Start(entry, id, runner, NextRun(*entry, tasks[index].last_run), time);
   }
 }
@@ -101,7 +102,9 @@
     if (checkpoint.empty()) checkpoint = progress.tasks[index].checkpoint;
   }
   for (const auto& [id, runner] : chosen) runner->used -= load;
-  if (chosen.size() != progress.tasks.size()) return;
+  if (chosen.size() != progress.tasks.size()) {
+    return AskAdvisor(entry, occurrence, step, time.now);
+  }
   const RunNumber run = NextRun(*entry, last);
   for (const auto& [id, runner] : chosen) {
     entry->job.FindTask(id)->checkpoint = checkpoint;
@@ -131,6 +134,8 @@
   const StepSpec& step = entry.job.spec().steps[id.step];
   const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
   const Resources load = step.Load();
+  const bool advised = entry.job.policy().advice.has_value();
+  const StepAdmission* admission = advised ? FindAdmission(entry, id) : nullptr;
   Runner* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   for (auto& [key, runner] : runners_) {
@@ -139,11 +144,8 @@
     if (!runner.health.Admits(now) || runner.runs.contains(id)) continue;
     if (task.failed_on == key && runners_.size() > 1) continue;
     if (step.most_per_runner > 0 && RunsOfStep(runner, id) >= step.most_per_runner) continue;
-    const auto& labels = runner.listing.labels;
-    if (!step.required_label.empty() &&
-        std::find(labels.begin(), labels.end(), step.required_label) == labels.end()) {
-      continue;
-    }
+    if (!runner.HasLabel(step.required_label)) continue;
+    if (advised && (admission == nullptr || admission->TicketFor(key, now) == nullptr)) continue;
     PlacementView view;
     view.capacity = runner.listing.capacity;
     view.free = runner.Free();
@@ -178,6 +180,10 @@
   order.deadline = runner->EstimatedClock(time.now) + options_.start_validity;
   order.checkpoint = entry->job.FindTask(id)->checkpoint;
   order.payload = entry->job.spec().payload;
+  if (const StepAdmission* admission = FindAdmission(*entry, id)) {
+    const std::string* ticket = admission->TicketFor(runner->key, time.now);
+    if (ticket != nullptr) order.ticket = *ticket;
+  }
   runner->GrantLease(order.deadline, options_);
   runner->next_look = std::min(runner->next_look, time.now + options_.look_gap);
   ++counters_.starts;
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -5,8 +5,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/clock.h"
@@ -166,6 +168,7 @@
   RunnerClock deadline{0};  ///< The runner refuses the order after this.
   std::string checkpoint;
   std::string payload;
+  std::string ticket;  ///< The advisor's; empty where the queue has none.
 };
 
 struct StopOrder {
@@ -188,6 +191,19 @@
   std::chrono::milliseconds wait{0};  ///< The answer may wait this long for an end.
 };
 
+/// A question to the advisor: which of these runners may run a step.
+struct AdviseOrder {
+  TaskId step;                                             ///< Its index says nothing.
+  std::vector<std::pair<RunnerKey, std::string>> runners;  ///< With their ids.
+  std::chrono::milliseconds timeout{0};
+};
+
+/// The advisor's answer. Runners that are not named may not run the step.
+struct Advice {
+  std::map<std::string, std::string> tickets;  ///< By runner id.
+  std::chrono::milliseconds valid{0};
+};
+
 /// One record for the cell's partition; no value removes the key.
 struct StoreRecord {
   std::string key;
@@ -210,6 +226,7 @@
   std::vector<StopOrder> stops;
   std::vector<PaceOrder> paces;
   std::vector<LookOrder> looks;
+  std::vector<AdviseOrder> questions;
   std::vector<AppendOrder> appends;
   std::vector<CallerAnswerOrder> answers;
 };
--- a/cells/job_store.h
+++ b/cells/job_store.h
@@ -71,12 +71,13 @@
 template <typename T>
 concept RunnerPort = requires(T& runners, const RunnerListing& runner, const StartOrder& start,
                               const StopOrder& stop, const PaceOrder& pace, const LookOrder& look,
-                              std::chrono::milliseconds timeout) {
+                              const AdviseOrder& question, std::chrono::milliseconds timeout) {
   runners.Start(runner, FenceToken{}, start, timeout, std::function<void(OrderOutcome)>());
   runners.Stop(runner, FenceToken{}, stop, timeout, std::function<void(OrderOutcome)>());
   runners.Pace(runner, FenceToken{}, pace, timeout, std::function<void(OrderOutcome)>());
   runners.Look(runner, FenceToken{}, look, timeout,
                std::function<void(OrderAnswer, std::optional<RunnerReport>)>());
+  runners.Advise(question, std::function<void(absl::StatusOr<Advice>)>());
 };
 
 /// Membership of a group with partitions dealt out among its members.
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -2,6 +2,7 @@
 #ifndef WIGEONLANE_CELLS_RUNNER_H_
 #define WIGEONLANE_CELLS_RUNNER_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -92,6 +93,12 @@
     if (end > lease_end) lease_end = end;
   }
 
+  /// Whether a step that requires `label` may run here; any step may when it is empty.
+  bool HasLabel(const std::string& label) const {
+    return label.empty() ||
+           std::find(listing.labels.begin(), listing.labels.end(), label) != listing.labels.end();
+  }
+
   bool AcceptsStarts(Instant now) const {
     return claimed && rostered && listed && !listing.draining && now >= reserved_until &&
            looks_failed == 0 && now >= blocked_until;
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -52,7 +52,7 @@
 JobInstance::JobInstance(PlatformSettings settings)
     : settings_(std::move(settings)),
       store_(&io_, settings_.store, &metrics_),
-      runners_(&io_),
+      runners_(&io_, settings_.advisor),
       router_(&io_, settings_.peers,
               {[this](CellNumber cell) { return OwnerAddress(cell); },
                [this](CellCall call, std::function<void(CallAnswer)> answered) {
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "platform/advisor_client.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
 #include "platform/machine_client.h"
@@ -159,5 +160,20 @@
   CHECK_FALSE(machines.at("m2").up);
 }
 
+TEST_CASE_METHOD(WireTest, "Advice_GoodAnswer_GivesTicketsByRunner") {
+  const auto advice = DecodeAdvice(R"({"Allowed":[["i-7","c81e"],["i-9","77aa"]],"ValidMs":3000})");
+  REQUIRE(advice.ok());
+  CHECK(advice->valid == milliseconds(3'000));
+  CHECK(advice->tickets.at("i-7") == "c81e");
+  CHECK(advice->tickets.size() == 2);
+}
+
+TEST_CASE_METHOD(WireTest, "Advice_RowsOfAnotherForm_AreNamed") {
+  for (const char* body : {R"({"Allowed":[["i-7"]]})", R"({"Allowed":["i-7"]})",
+                           R"({"Allowed":[[1,2]]})", R"({"Allowed":5})", "[", ""}) {
+    CHECK_FALSE(DecodeAdvice(body).ok());
+  }
+}
+
 }  // namespace
 }  // namespace wigeonlane
