jobs: failed runs are kept by number, so that their order does not matter

All instances lost power with the ends of two runs not yet stored; the successor heard of run 3 from one runner before it heard of run 2 from another, and a failure with a number at or below the highest counted was taken for one counted before. Ruled out: a start before all runners were heard (the start came after the last claim), a runner missing from the roster (both were claimed). Change: a task keeps the numbers of its failed runs, also in the store. The fuzzing had one hopeless job in sixteen, too few to meet this; now it has one in four.

--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -105,9 +105,9 @@
   const bool failed_elsewhere = task->failed_on != kNoRunner && task->failed_on != runner->key;
   if (!failed_elsewhere) runner->health.NoteFailure(end.task.job, time.now);
   task->failed_on = runner->key;
-  const std::uint32_t failures = task->failures;
+  const std::uint32_t failures = task->failures();
   const bool job_failed = entry->job.MarkFailed(end.task, end.run);
-  if (task->failures != failures) MarkDirty(entry);
+  if (task->failures() != failures) MarkDirty(entry);
   if (job_failed) StopJob(entry, time.now);
 }
 
--- a/jobs/job_progress.cc
+++ b/jobs/job_progress.cc
@@ -20,14 +20,13 @@
   std::uint32_t step = 0;
   std::uint32_t index = 0;
   bool done = false;
-  std::uint16_t failures = 0;
   RunNumber last_run = 0;
-  RunNumber last_failed_run = 0;
+  std::vector<RunNumber> failed_runs;
   std::string checkpoint;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(step, index, done, failures, last_run, last_failed_run, checkpoint);
+    archive(step, index, done, last_run, failed_runs, checkpoint);
   }
 };
 
@@ -53,7 +52,7 @@
 };
 
 bool Untouched(const TaskState& task) {
-  return task.phase != TaskPhase::kDone && task.failures == 0 && task.last_run == 0 &&
+  return task.phase != TaskPhase::kDone && task.failed_runs.empty() && task.last_run == 0 &&
          task.checkpoint.empty();
 }
 
@@ -76,9 +75,8 @@
     for (std::uint32_t index = 0; index < tasks.size(); ++index) {
       const TaskState& task = tasks[index];
       if (Untouched(task)) continue;
-      stored.tasks.push_back({step, index, task.phase == TaskPhase::kDone,
-                              static_cast<std::uint16_t>(task.failures), task.last_run,
-                              task.last_failed_run, task.checkpoint});
+      stored.tasks.push_back({step, index, task.phase == TaskPhase::kDone, task.last_run,
+                              task.failed_runs, task.checkpoint});
     }
   }
   return stored;
@@ -91,9 +89,8 @@
   }
   StepProgress& step = occurrence->steps[stored.step];
   TaskState& task = step.tasks[stored.index];
-  task.failures = stored.failures;
   task.last_run = stored.last_run;
-  task.last_failed_run = stored.last_failed_run;
+  task.failed_runs = stored.failed_runs;
   task.checkpoint = stored.checkpoint;
   if (stored.done && task.phase != TaskPhase::kDone) {
     task.phase = TaskPhase::kDone;
@@ -196,10 +193,10 @@
 bool Job::MarkFailed(const TaskId& id, RunNumber run) {
   TaskState* task = FindTask(id);
   if (task == nullptr || spec_.steps[id.step].long_running) return false;
-  if (run <= task->last_failed_run) return false;
-  task->last_failed_run = run;
-  ++task->failures;
-  if (task->failures < policy_.max_attempts) return false;
+  auto& failed = task->failed_runs;
+  if (std::find(failed.begin(), failed.end(), run) != failed.end()) return false;
+  failed.push_back(run);
+  if (task->failures() < policy_.max_attempts) return false;
   if (!IsFinal(state_)) state_ = JobState::kFailed;
   return true;
 }
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -45,12 +45,15 @@
 /// One task. `runner` and `run` name its only live run while it is placed.
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
-  std::uint32_t failures = 0;
   RunNumber last_run = 0;           ///< Highest run number known to have been used.
-  RunNumber last_failed_run = 0;    ///< Highest run whose failure was counted.
   RunnerKey runner = kNoRunner;     ///< Where it is placed.
   RunnerKey failed_on = kNoRunner;  ///< Where it failed last; avoided at the next start.
   std::string checkpoint;           ///< Latest saved progress; empty when none.
+  /// Runs that failed. After a takeover their ends come from several runners, in any order and
+  /// more than once, so that a count or a highest number would not do.
+  std::vector<RunNumber> failed_runs;
+
+  std::uint32_t failures() const { return static_cast<std::uint32_t>(failed_runs.size()); }
 };
 
 /// All tasks of one step of one occurrence.
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -396,7 +396,7 @@
   digits.replace(digits.size() - number.size(), number.size(), number);
   Submitted job{*JobId::Parse(digits), {}};
   job.record.spec = SpecOf(shape);
-  job.record.spec.payload = std::to_string(fate) + (fate < 4 ? "hopeless" : "");
+  job.record.spec.payload = std::to_string(fate) + (fate < 16 ? "hopeless" : "");
   job.record.policy.name = "queue";
   job.record.policy.service = kService;
   job.record.policy.max_attempts = 2;
