cells: lasting tasks that fail again and again wait between restarts

Ruled out: a lost wake-up (the cell scheduled every 500 ms), capacity (most of it was free). Change: a lasting task that failed three times in a row, each soon after its start, waits 250 ms and doubles that up to 2 s, below the 3 s in which it has to be back. A failure that is the task's own fault no longer counts as a probe of a suspect.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -185,7 +185,9 @@
   void MaybeLook(Runner* runner, CellTime time);
   void TakeReport(Runner* runner, const RunnerReport& report, CellTime time);
   void TakeEnd(Runner* runner, const ListedEnd& end, CellTime time);
-  void TakeFailure(Runner* runner, JobEntry* entry, const ListedEnd& end, CellTime time);
+  void TakeFailure(Runner* runner, JobEntry* entry, const ListedEnd& end, Instant ordered,
+                   CellTime time);
+  static void PauseRestart(TaskState* task, Instant ordered, Instant now);
   void TakeRunning(Runner* runner, const ListedRun& row, RunnerClock clock, CellTime time);
   void DropVanished(Runner* runner, const RunnerReport& report, CellTime time);
   void UpdatePace(Runner* runner, const RunnerReport& report);
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -8,6 +8,17 @@
 #include "core/text.h"
 
 namespace wigeonlane {
+namespace {
+
+/// A lasting task that worked for this long had a good start.
+constexpr std::chrono::seconds kStableRun{5};
+/// Failures in a row after which a task still starts at once: sound ones fail now and then.
+constexpr std::uint32_t kFreeRestarts = 2;
+constexpr std::chrono::milliseconds kFirstRestartPause{250};
+/// Longest pause 2 s: a lasting task may be away for 3 s (the platform's rule on lost tasks).
+constexpr std::uint32_t kMostDoublings = 3;
+
+}  // namespace
 
 void Cell::TakeReport(Runner* runner, const RunnerReport& report, CellTime time) {
   if (runner->claimed && report.clock < runner->clock) {
@@ -92,19 +103,35 @@
     entry->job.MarkDone(end.task);
     MarkDirty(entry);
   } else if (failed) {
-    TakeFailure(runner, entry, end, time);
+    TakeFailure(runner, entry, end, ordered, time);
   } else {
     ++counters_.ends_other;
   }
 }
 
-void Cell::TakeFailure(Runner* runner, JobEntry* entry, const ListedEnd& end, CellTime time) {
+/// A lasting task that fails soon after each start waits longer each time, or its restarts would
+/// take the place of other jobs' tasks.
+void Cell::PauseRestart(TaskState* task, Instant ordered, Instant now) {
+  const bool soon = ordered != Instant{} && now - ordered < kStableRun;
+  task->failures_in_row = soon ? task->failures_in_row + 1 : 0;
+  if (task->failures_in_row <= kFreeRestarts) return;
+  const auto doublings = std::min(task->failures_in_row - kFreeRestarts - 1, kMostDoublings);
+  task->not_before = now + kFirstRestartPause * (1 << doublings);
+}
+
+void Cell::TakeFailure(Runner* runner, JobEntry* entry, const ListedEnd& end, Instant ordered,
+                       CellTime time) {
   ++counters_.ends_failed;
   TaskState* task = entry->job.FindTask(end.task);
   // A task that failed on another runner before is at fault itself.
   const bool failed_elsewhere = task->failed_on != kNoRunner && task->failed_on != runner->key;
-  if (!failed_elsewhere) runner->health.NoteFailure(end.task.job, time.now);
+  if (failed_elsewhere) {
+    runner->health.NoteInconclusive(time.now);
+  } else {
+    runner->health.NoteFailure(end.task.job, time.now);
+  }
   task->failed_on = runner->key;
+  if (entry->job.spec().steps[end.task.step].long_running) PauseRestart(task, ordered, time.now);
   const std::uint32_t failures = task->failures();
   const bool job_failed = entry->job.MarkFailed(end.task, end.run);
   if (task->failures() != failures) MarkDirty(entry);
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -73,7 +73,7 @@
 void Cell::PlaceStep(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time) {
   const auto& tasks = entry->job.occurrences()[occurrence].steps[step].tasks;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    if (tasks[index].phase != TaskPhase::kWaiting) continue;
+    if (tasks[index].phase != TaskPhase::kWaiting || time.now < tasks[index].not_before) continue;
     const TaskId id{entry->job.id(), occurrence, step, index};
     Runner* runner = ChooseRunner(*entry, id, RackOfStep(*entry, occurrence, step), time.now);
     // The step's other tasks need as much.
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/status/statusor.h"
+#include "core/clock.h"
 #include "jobs/job.h"
 
 namespace wigeonlane {
@@ -45,10 +46,12 @@
 /// One task. `runner` and `run` name its only live run while it is placed.
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
-  RunNumber last_run = 0;           ///< Highest run number known to have been used.
-  RunnerKey runner = kNoRunner;     ///< Where it is placed.
-  RunnerKey failed_on = kNoRunner;  ///< Where it failed last; avoided at the next start.
-  std::string checkpoint;           ///< Latest saved progress; empty when none.
+  RunNumber last_run = 0;             ///< Highest run number known to have been used.
+  RunnerKey runner = kNoRunner;       ///< Where it is placed.
+  RunnerKey failed_on = kNoRunner;    ///< Where it failed last; avoided at the next start.
+  std::string checkpoint;             ///< Latest saved progress; empty when none.
+  Instant not_before{};               ///< No start before this: it failed again and again.
+  std::uint32_t failures_in_row = 0;  ///< Of a task that lasts, each soon after its start.
   /// Runs that failed. After a takeover their ends come from several runners, in any order and
   /// more than once, so that a count or a highest number would not do.
   std::vector<RunNumber> failed_runs;
--- a/scheduling/runner_health.h
+++ b/scheduling/runner_health.h
@@ -40,6 +40,11 @@
     paused_until_ = now + pause_;
   }
 
+  /// A task failed here that is at fault itself: the probe told nothing of the runner.
+  void NoteInconclusive(Instant now) {
+    if (suspect_) paused_until_ = now;
+  }
+
   /// A task is started here; on a suspect it is the only one until the pause is over.
   void NoteStart(Instant now) {
     if (suspect_) paused_until_ = now + pause_;
--- a/tests/cells/cell_world_test.cc
+++ b/tests/cells/cell_world_test.cc
@@ -170,5 +170,18 @@
   CHECK(world_.broken().empty());
 }
 
+TEST_CASE_METHOD(CellWorldTest, "Job_BesideLastingTasksThatFailAgainAndAgain_Ends") {
+  world_.Submit(3, 0);
+  world_.Submit(0, 0);
+  world_.Advance(milliseconds(400));
+  world_.Submit(63, 0);
+  world_.Submit(9, 0);
+  world_.Advance(milliseconds(300));
+  world_.Submit(0, 6);
+  world_.SettleAndCheck();
+  INFO(world_.broken());
+  CHECK(world_.broken().empty());
+}
+
 }  // namespace
 }  // namespace wigeonlane
