pools: a pool that lends keeps a third of its first machines

Cause: a calm pool lent all that it did not need, and began its own turn with two or three machines. Change: it keeps 0.34 of its first machines.

--- a/scheduling/pool_planner.cc
+++ b/scheduling/pool_planner.cc
@@ -64,7 +64,9 @@
       const bool lends = giver.spare || (giver.reported && giver.service != need.pool->service &&
                                          CalmFor(giver, now) >= options_.calm_before_lending);
       while (lends && need.missing > 0 && moves->size() < options_.most_moves) {
-        const bool enough = giver.spare || NeededMachines(giver) < giver.machines;
+        const auto kept =
+            static_cast<std::uint32_t>(std::ceil(home_.at(giver.service) * options_.kept_share));
+        const bool enough = giver.spare || std::max(NeededMachines(giver), kept) < giver.machines;
         if (!enough || !TakeFrom(&giver, need.pool->service, moves)) break;
         --need.missing;
       }
--- a/scheduling/pool_planner.h
+++ b/scheduling/pool_planner.h
@@ -45,6 +45,8 @@
   /// A move costs as much as 1.1 s of a machine (site files), there and back 2.3 s; and the next
   /// queue's turn begins soon after one has passed.
   std::chrono::milliseconds calm_before_return{1'200};
+  /// Share of its first machines that a pool keeps when it lends, for the start of its own turn.
+  double kept_share = 0.34;
   /// Share of a pool's cores that stays free when machines are taken from it.
   double headroom = 0.3;
   /// Moves in one round, so that a wrong reading does not empty a pool.
--- a/tests/scheduling/pool_planner_test.cc
+++ b/tests/scheduling/pool_planner_test.cc
@@ -64,6 +64,15 @@
   CHECK(Count(moves, "fold", "press") == 4);
 }
 
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_CalmPoolLends_KeepsAThirdOfItsFirstMachines") {
+  PoolView fold = Pool("fold", 9, 2, 0);
+  for (std::uint32_t i = 4; i < 9; ++i) fold.movable.push_back("fold" + std::to_string(i));
+  planner_.Plan({Pool("press", 9, 30, 0), fold, Spare(0)}, now_);
+  now_ += seconds(5);
+  const auto moves = planner_.Plan({Pool("press", 9, 280, 900), fold, Spare(0)}, now_);
+  CHECK(Count(moves, "fold", "press") == 5);  // A third of 9 is 3.06 by the setting.
+}
+
 TEST_CASE_METHOD(PoolPlannerTest, "Plan_BothPoolsUnderPressure_LeavesEachItsMachines") {
   const auto moves =
       planner_.Plan({Pool("press", 9, 280, 900), Pool("fold", 9, 280, 900), Spare(0)}, now_);
