logs: wigeonlane explain tells a job's story from the logs of all instances

Clocks that are apart are aligned by the jobs that two logs share: an owner accepts a job between the arrival of the caller's request elsewhere and its answer, and all such bounds are intersected. Ruled out: sorting by the written times (a clock 2.7 s ahead puts the new owner's lines before the job), and trusting the order of files.

--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -327,6 +327,7 @@
   order show SERVICE KEY                         what the log says of an order's key
   outcome RECORD-ID                              what became of a record written earlier
   status                                         all entry instances
+  explain ID LOG...                              a job's story from the logs of all instances
   load run FILE                                  make load and report; see docs/LOAD.md
 
 Exit codes: 0 accepted or done, 1 rejected or not run, 2 usage, 3 unknown: ask again with the id.
--- /dev/null
+++ b/cli/explain_command.h
@@ -0,0 +1,16 @@
+/// `wigeonlane explain ID FILE...`: the story of a job from the logs of all instances.
+#ifndef WIGEONLANE_CLI_EXPLAIN_COMMAND_H_
+#define WIGEONLANE_CLI_EXPLAIN_COMMAND_H_
+
+#include <string>
+#include <vector>
+
+namespace wigeonlane {
+
+/// `words` are "explain", the job's id and the log files. Returns an exit code: kExitRejected when
+/// a file cannot be read or no log knows the job.
+int RunExplainCommand(const std::vector<std::string>& words);
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_CLI_EXPLAIN_COMMAND_H_
--- a/cli/wigeonlane_main.cc
+++ b/cli/wigeonlane_main.cc
@@ -4,6 +4,7 @@
 
 #include "cli/commands.h"
 #include "cli/exit_codes.h"
+#include "cli/explain_command.h"
 #include "cli/load_command.h"
 #include "core/settings.h"
 
@@ -35,6 +36,9 @@
     return kExitUsage;
   }
   const SettingValues& values = parsed->values;
+  if (!parsed->words.empty() && parsed->words.front() == "explain" && !values.Switch("help")) {
+    return RunExplainCommand(parsed->words);
+  }
   if (values.Switch("help")) {
     std::cout << "wigeonlane: publish, drain, move, ask and measure\n\n"
               << CommandHelp() << "\nOptions:\n"
