cells: an owner that hands over tells how long its leases last

Change: on the way out an owner stores, by runner, how long its leases may last yet. The record was written before the successor began, so the time counts from then at the latest. The successor grants nothing until the removal of that record is stored, or a third owner would rely on it. Takeovers of killed owners keep the longest bound.

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -48,11 +48,10 @@
   return "unknown";
 }
 
-Cell::Cell(CellNumber number, TenureToken token, CellOptions options, CellTime time)
+Cell::Cell(CellNumber number, TenureToken token, CellOptions options)
     : number_(number),
       token_(token),
       options_(options),
-      settle_by_(time.now + options.PredecessorBound()),
       commits_(options.commit_gap, kBatchBytes) {}
 
 Cell::JobEntry* Cell::FindJob(const JobId& id) {
@@ -159,6 +158,7 @@
   for (auto& [key, runner] : runners_) {
     if (runner.roster_batch != 0 && runner.roster_batch <= batch) runner.rostered = true;
   }
+  if (handover_stands_ && handover_batch_ <= batch) handover_stands_ = false;
   NoteEndsStored(time);
   schedule_wanted_ = true;
 }
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -52,7 +52,7 @@
 
 class Cell {
  public:
-  Cell(CellNumber number, TenureToken token, CellOptions options, CellTime time);
+  Cell(CellNumber number, TenureToken token, CellOptions options);
 
   /// Takes over what the partition held when it was fenced. Unreadable records are logged and
   /// left alone.
@@ -62,7 +62,8 @@
   void ExtendAuthority(Instant until) { authority_until_ = std::max(authority_until_, until); }
 
   /// From now on nothing is started or extended; what was decided is still stored.
-  void GiveUpAuthority() { authority_until_ = Instant{}; }
+  /// A record tells the successor how long leases may last, so that it need not assume the longest.
+  void PrepareHandover(CellTime time);
 
   /// Replaces what discovery says of the runners of this cell's services.
   void SetRunners(const std::vector<RunnerListing>& listings, CellTime time);
@@ -161,7 +162,11 @@
     JobEntry* entry = nullptr;
   };
 
-  bool HasAuthority(Instant now) const { return !deposed_ && now < authority_until_; }
+  /// While a predecessor's record of its leases stands, none may be granted: should we fall silent,
+  /// a third owner would rely on it.
+  bool HasAuthority(Instant now) const {
+    return !deposed_ && !handover_stands_ && now < authority_until_;
+  }
   JobEntry* FindJob(const JobId& id);
   void Answer(CallNumber call, CallAnswer answer);
   BatchNumber MarkDirty(JobEntry* entry);
@@ -173,6 +178,7 @@
   void RestoreJob(const std::string& key, const std::string& value, CellTime time);
   void RestoreProgress(const std::string& key, const std::string& value, CellTime time);
   void RestoreRoster(const std::string& value, CellTime time);
+  void RestoreHandover(const std::string& value, CellTime time);
 
   Runner* FindRunner(RunnerKey key);
   Runner* AddRunner(const RunnerListing& listing, Instant now);
@@ -222,7 +228,8 @@
   const TenureToken token_;
   const CellOptions options_;
   Instant authority_until_{};
-  Instant settle_by_{};
+  bool handover_stands_ = false;    ///< A predecessor's record is still in the store ...
+  BatchNumber handover_batch_ = 0;  ///< ... until this batch, which removes it, is stored.
   bool deposed_ = false;
 
   std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs_;
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -113,7 +113,7 @@
   void Release(std::function<void()> done) {
     released_ = std::move(done);
     if (cell_ == nullptr) return FinishRelease();
-    cell_->GiveUpAuthority();
+    cell_->PrepareHandover(Time());
     Pump();
   }
 
@@ -165,7 +165,7 @@
   }
 
   void Open(const KeyedSnapshot& snapshot) {
-    cell_ = std::make_unique<Cell>(number_, token_, options_, Time());
+    cell_ = std::make_unique<Cell>(number_, token_, options_);
     cell_->ExtendAuthority(authority_);
     cell_->Restore(snapshot.records, Time());
     cell_->SetRunners(listings_, Time());
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -1,4 +1,6 @@
 /// Takeover: what the partition held becomes jobs and runners to be heard from.
+#include <algorithm>
+#include <map>
 #include <utility>
 
 #include "cells/cell.h"
@@ -27,6 +29,9 @@
     if (record.key.starts_with(kProgressPrefix)) RestoreProgress(record.key, *record.value, time);
     if (record.key == kRosterKey) RestoreRoster(*record.value, time);
   }
+  for (const StoreRecord& record : records) {
+    if (record.value && record.key == kHandoverKey) RestoreHandover(*record.value, time);
+  }
   schedule_wanted_ = true;
   LogDecision("cell_restored", {{"cell", Concat(number_)},
                                 {"token", Concat(token_)},
@@ -75,9 +80,42 @@
     Runner* runner = AddRunner(listing, time.now);
     runner->rostered = true;
     runner->listed = false;
-    runner->lease_end = settle_by_;
+    runner->predecessor_end = time.now + options_.PredecessorBound();
+    runner->lease_end = runner->predecessor_end;
     unsettled_.insert(runner->key);
   }
 }
 
+void Cell::PrepareHandover(CellTime time) {
+  authority_until_ = Instant{};
+  std::map<std::string, std::int64_t> left;
+  for (const auto& [key, runner] : runners_) {
+    Instant end = runner.lease_end;
+    if (unsettled_.contains(key)) end = std::max(end, runner.predecessor_end);
+    const auto lasts = std::chrono::ceil<std::chrono::milliseconds>(end - time.now);
+    left[runner.listing.id] = std::max<std::int64_t>(lasts.count(), 0);
+  }
+  commits_.Put(std::string(kHandoverKey), Encode(left));
+}
+
+/// The predecessor wrote the record before we were dealt the cell, so that its times count from now
+/// at the latest. Runners that it does not name keep the longest bound.
+void Cell::RestoreHandover(const std::string& value, CellTime time) {
+  const auto left = Decode<std::map<std::string, std::int64_t>>(value);
+  if (!left.ok()) {
+    LogUnreadable(number_, std::string(kHandoverKey), MessageOf(left.status()));
+  } else {
+    for (const auto& [id, millis] : *left) {
+      const auto key = key_by_id_.find(id);
+      if (key == key_by_id_.end()) continue;
+      Runner& runner = runners_.at(key->second);
+      const Instant end = time.now + std::chrono::milliseconds(millis);
+      runner.predecessor_end = std::min(runner.predecessor_end, end);
+      runner.lease_end = std::min(runner.lease_end, end);
+    }
+  }
+  handover_stands_ = true;
+  handover_batch_ = commits_.Put(std::string(kHandoverKey), std::nullopt);
+}
+
 }  // namespace wigeonlane
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -103,7 +103,10 @@
   const RunnerKey old_key = old_life->key;
   Runner* runner = AddRunner(listing, time.now);
   // Orders of a predecessor may have reached the new life as well.
-  if (unsettled_.contains(old_key)) unsettled_.insert(runner->key);
+  if (unsettled_.contains(old_key)) {
+    unsettled_.insert(runner->key);
+    runner->predecessor_end = FindRunner(old_key)->predecessor_end;
+  }
   for (auto& [task, run] : unanswered) {
     RemoveRun(FindRunner(old_key), task);
     NoteUnanswered(listing.id, task, run.run, time.now);
@@ -159,7 +162,7 @@
   std::vector<RunnerKey> lost;
   for (auto& [key, runner] : runners_) {
     const bool lease_over = time.now >= runner.lease_end;
-    const bool predecessor_over = !unsettled_.contains(key) || time.now >= settle_by_;
+    const bool predecessor_over = !unsettled_.contains(key) || time.now >= runner.predecessor_end;
     const bool silent = runner.looks_failed > 0 || !runner.listed;
     const bool idle = runner.runs.empty() && !unsettled_.contains(key);
     if (silent && lease_over && predecessor_over && (!idle || !runner.listed)) {
--- a/cells/record_keys.h
+++ b/cells/record_keys.h
@@ -15,6 +15,9 @@
 /// Runners on which the owner may have started tasks.
 inline constexpr std::string_view kRosterKey = "roster";
 
+/// Left by an owner that handed the cell over in good order: how long its leases may last yet.
+inline constexpr std::string_view kHandoverKey = "handover";
+
 /// The accepted job, written once.
 inline std::string JobKey(const JobId& id) { return Concat("j", id.text()); }
 /// How far the job is, rewritten with each end that counts.
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -51,9 +51,10 @@
   BatchNumber roster_batch = 0;  ///< ... once this batch is stored; 0 when it is in none.
   bool listed = true;            ///< Discovery names this life now.
 
-  RunnerClock clock{0};  ///< As last heard ...
-  Instant clock_at{};    ///< ... at this time.
-  Instant lease_end{};   ///< Nothing runs there after this unless a lease is granted again.
+  RunnerClock clock{0};       ///< As last heard ...
+  Instant clock_at{};         ///< ... at this time.
+  Instant predecessor_end{};  ///< Nothing that a predecessor ordered lasts longer.
+  Instant lease_end{};        ///< Nothing runs there after this unless a lease is granted again.
 
   bool looking = false;
   Instant next_look{};
--- a/tests/cells/cell_admission_test.cc
+++ b/tests/cells/cell_admission_test.cc
@@ -19,7 +19,7 @@
 /// One cell whose runners and store answer everything at once.
 class CellAdmissionTest {
  protected:
-  CellAdmissionTest() : cell_(0, 1, CellOptions(), Time()) {
+  CellAdmissionTest() : cell_(0, 1, CellOptions()) {
     cell_.Restore({}, Time());
     List();
     Turn();
--- a/tests/cells/cell_fuzz_test.cc
+++ b/tests/cells/cell_fuzz_test.cc
@@ -22,6 +22,7 @@
 WIGEONLANE_WORLD_COMMAND(CellWorld, Step, world->Advance(milliseconds(1 + a)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, Wait, world->Advance(milliseconds(50 * a)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, TakeOver, if (b < 24) world->TakeOver(a < 32));
+WIGEONLANE_WORLD_COMMAND(CellWorld, HandOver, if (b < 24) world->HandOver());
 WIGEONLANE_WORLD_COMMAND(CellWorld, Freeze, if (b < 24) world->Freeze(milliseconds(100 * a)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, CrashRunner, if (b < 32) world->CrashRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, RestartRunner, if (b < 32) world->RestartRunner(a));
@@ -38,9 +39,9 @@
     rc::state::check(
         NoModel(), world,
         rc::state::gen::execOneOfWithArgs<Submit, Submit, Submit, Repeat, Cancel, Step, Step, Wait,
-                                          Wait, TakeOver, Freeze, CrashRunner, RestartRunner,
-                                          CutRunner, DrainRunner, LateOrders, LoseAppendAnswers,
-                                          StoreDown>());
+                                          Wait, TakeOver, HandOver, Freeze, CrashRunner,
+                                          RestartRunner, CutRunner, DrainRunner, LateOrders,
+                                          LoseAppendAnswers, StoreDown>());
     world.SettleAndCheck();
     if (!world.broken().empty()) RC_FAIL(world.broken());
   }
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -18,6 +18,7 @@
 constexpr milliseconds kSettleTime{45'000};
 constexpr milliseconds kLateLeast{2'000};
 constexpr TenureToken kTokenStep = 8;
+constexpr milliseconds kReleaseTime{800};
 constexpr std::string_view kService = "press";
 
 StepSpec Step(std::uint32_t count, std::int64_t cpu) {
@@ -150,7 +151,7 @@
     store_.last_sequence = 0;
     std::vector<StoreRecord> records;
     for (const auto& [key, value] : store_.records) records.push_back({key, value});
-    owner->cell = std::make_unique<Cell>(0, owner->token, CellOptions(), Time());
+    owner->cell = std::make_unique<Cell>(0, owner->token, CellOptions());
     owner->cell->ExtendAuthority(now_ + CellOptions().authority);
     owner->cell->Restore(records, Time());
     owner->cell->SetRunners(Listings(), Time());
@@ -161,7 +162,7 @@
 /// Only the newest owner's renewals are confirmed.
 void CellWorld::Renew(std::size_t index) {
   OnOwner(index, [this, index](Owner* owner) {
-    const bool newest = index + 1 == owners_.size();
+    const bool newest = index + 1 == owners_.size() && !owner->leaving;
     if (newest && now_ >= store_.down_until && owner->cell != nullptr) {
       owner->cell->ExtendAuthority(now_ + CellOptions().authority);
       owner->cell->SetRunners(Listings(), Time());
@@ -429,6 +430,26 @@
   StartOwner(owners_.back()->token + kTokenStep);
 }
 
+void CellWorld::HandOver() {
+  const std::size_t index = owners_.size() - 1;
+  if (owners_[index]->leaving) return;
+  OnOwner(index, [this, index](Owner* owner) {
+    if (owner->cell == nullptr || owner->leaving || index + 1 != owners_.size()) return;
+    owner->leaving = true;
+    owner->cell->PrepareHandover(Time());
+    Pump(index);
+    FinishHandOver(index, now_ + kReleaseTime);
+  });
+}
+
+void CellWorld::FinishHandOver(std::size_t index, Instant until) {
+  if (index + 1 != owners_.size()) return;  // Another has taken the cell over meanwhile.
+  if (owners_[index]->cell->flushed() || now_ >= until) {
+    return StartOwner(owners_[index]->token + kTokenStep);
+  }
+  After(milliseconds(5), [this, index, until] { FinishHandOver(index, until); });
+}
+
 void CellWorld::Freeze(milliseconds duration) { owners_.back()->frozen_until = now_ + duration; }
 
 void CellWorld::CrashRunner(std::size_t which) {
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -38,6 +38,9 @@
 
   /// Another instance takes the cell over. The former owner is killed, or goes on without renewals.
   void TakeOver(bool former_killed);
+  /// The owner hands the cell over in good order; its successor begins once all is stored, or
+  /// after the time that an instance waits for that.
+  void HandOver();
   /// The owner is frozen: it sees no event until it wakes and finds them all at once.
   void Freeze(std::chrono::milliseconds duration);
 
@@ -63,6 +66,7 @@
     std::unique_ptr<Cell> cell;
     TenureToken token = 0;
     bool alive = true;
+    bool leaving = false;  ///< Its authority was given up.
     Instant frozen_until{};
     Instant next_wake{};  ///< Of the pending wake-up; in the past when there is none.
     std::map<CallNumber, JobId> submits;
@@ -96,6 +100,7 @@
   /// Runs `action` on an owner that is alive, once it is not frozen.
   void OnOwner(std::size_t owner, const std::function<void(Owner*)>& action);
   void StartOwner(TenureToken token);
+  void FinishHandOver(std::size_t owner, Instant until);
   void Restore(std::size_t owner);
   void Renew(std::size_t owner);
   void Pump(std::size_t index);
--- a/tests/cells/cell_world_test.cc
+++ b/tests/cells/cell_world_test.cc
@@ -183,5 +183,22 @@
   CHECK(world_.broken().empty());
 }
 
+TEST_CASE_METHOD(CellWorldTest, "Handover_RunnerGoneBefore_ItsTasksStartOnceItsLeaseIsOver") {
+  world_.Submit(3, 20);  // Two tasks that last.
+  world_.Advance(milliseconds(500));
+  world_.CrashRunner(0);
+  world_.CrashRunner(1);
+  world_.CrashRunner(2);  // One of its tasks ran on one of the first three.
+  world_.Advance(milliseconds(2'800));
+  world_.HandOver();
+  // A lease of 5 s on the slowest clock ends 5.3 s after the crash; a look and an append more.
+  world_.Advance(milliseconds(2'900));
+  REQUIRE(world_.cell() != nullptr);
+  CHECK(world_.cell()->settled());
+  world_.SettleAndCheck();
+  INFO(world_.broken());
+  CHECK(world_.broken().empty());
+}
+
 }  // namespace
 }  // namespace wigeonlane
