explain: the reason of a wait looks at the job's own owner only

Change: only what happened at the instances that owned the job's cell counts. A runner that never had a lease is logged with lease_over_ms=none, not with the time since the machine started.

--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -128,11 +128,14 @@
   Runner* runner = FindRunner(key);
   if (runner == nullptr) return;
   ++counters_.runners_lost;
-  LogDecision("runner_lost", {{"runner", runner->listing.id},
-                              {"cell", Concat(number_)},
-                              {"why", std::string(why)},
-                              {"runs", Concat(runner->runs.size())},
-                              {"lease_over_ms", Concat(Millis(time.now - runner->lease_end))}});
+  LogDecision("runner_lost",
+              {{"runner", runner->listing.id},
+               {"cell", Concat(number_)},
+               {"why", std::string(why)},
+               {"runs", Concat(runner->runs.size())},
+               {"lease_over_ms", runner->lease_end == Instant{}
+                                     ? std::string("none")
+                                     : Concat(Millis(time.now - runner->lease_end))}});
   while (!runner->runs.empty()) {
     const auto [task, run] = *runner->runs.begin();
     if (!run.listed) NoteUnanswered(runner->listing.id, task, run.run, time.now);
--- a/logs/job_story.cc
+++ b/logs/job_story.cc
@@ -79,14 +79,20 @@
   return lines;
 }
 
-/// Why nothing of the job ran between two times, by what happened meanwhile.
-std::string ReasonOf(const std::vector<LogLine>& lines, std::string_view cell, LogTime from,
+/// The job's cell and the instances that have owned it.
+struct CellOwners {
+  std::string cell;
+  std::set<std::string, std::less<>> instances;
+};
+
+/// Why nothing of the job ran between two times, by what happened to its cell meanwhile.
+std::string ReasonOf(const std::vector<LogLine>& lines, const CellOwners& owners, LogTime from,
                      LogTime to) {
   std::string reason;
   std::size_t starts = 0;
   for (const LogLine& line : lines) {
-    if (line.time < from || line.time > to) continue;
-    if (IsOneOf(line.event, kCellEvents) && line.Field("cell") == cell) {
+    if (line.time < from || line.time > to || !owners.instances.contains(line.instance)) continue;
+    if (IsOneOf(line.event, kCellEvents) && line.Field("cell") == owners.cell) {
       AppendTo(&reason, reason.empty() ? "" : ", ", line.event, " at ", line.instance);
     }
     if (line.event == "store_lost") {
@@ -95,12 +101,12 @@
     if (line.event == "start") ++starts;
   }
   if (!reason.empty()) return reason;
-  if (starts == 0) return "no task was started anywhere; look at the runners' lines";
-  return Concat("no room or not its turn: ", starts, " tasks of other jobs were started");
+  if (starts == 0) return "its owner started no task; look at its runners' lines";
+  return Concat("no room or not its turn: its owner started ", starts, " other tasks");
 }
 
 void FindWaits(const std::vector<LogLine>& lines, const std::vector<const LogLine*>& own,
-               std::string_view cell, JobStory* story) {
+               const CellOwners& owners, JobStory* story) {
   std::set<std::string, std::less<>> running;
   std::optional<LogTime> idle_since;
   for (const LogLine* line : own) {
@@ -108,7 +114,7 @@
     if (line->event == "start" || line->event == "adopt") {
       if (idle_since && line->time - *idle_since >= kLeastWait) {
         story->waits.push_back(
-            {*idle_since, line->time, ReasonOf(lines, cell, *idle_since, line->time)});
+            {*idle_since, line->time, ReasonOf(lines, owners, *idle_since, line->time)});
       }
       idle_since.reset();
       running.emplace(line->Field("task"));
@@ -145,11 +151,12 @@
   JobStory story;
   const std::vector<LogLine> lines = Merged(logs);
   std::vector<const LogLine*> own;
-  std::string cell;
+  CellOwners owners;
   for (const LogLine& line : lines) {
     if (line.Field("job") != job) continue;
     own.push_back(&line);
-    if (!line.Field("cell").empty()) cell = line.Field("cell");
+    if (!line.Field("cell").empty()) owners.cell = line.Field("cell");
+    if (line.event != "call") owners.instances.insert(line.instance);
   }
   if (own.empty()) return story;
   const LogTime first = own.front()->time - kMargin;
@@ -157,13 +164,14 @@
   for (const LogLine& line : lines) {
     const bool mine = line.Field("job") == job;
     const bool near = line.time >= first && line.time <= last;
-    const bool of_cell =
-        !cell.empty() && IsOneOf(line.event, kCellEvents) && line.Field("cell") == cell;
+    const bool of_cell = IsOneOf(line.event, kCellEvents) && line.Field("cell") == owners.cell;
+    const bool of_owner =
+        owners.instances.contains(line.instance) && IsOneOf(line.event, kStoreEvents);
     if (mine && line.event == "free" && line.Field("why") == "done") continue;  // Its end says so.
-    if (!mine && !(near && (of_cell || IsOneOf(line.event, kStoreEvents)))) continue;
+    if (!mine && !(near && (of_cell || of_owner))) continue;
     story.events.push_back({line.time, line.instance, Described(line)});
   }
-  FindWaits(lines, own, cell, &story);
+  FindWaits(lines, own, owners, &story);
   story.outcome = OutcomeOf(own);
   return story;
 }
