coordinator: the duty of machines is handed over with its cell

Ruled out: the handover of cells itself (20 to 190 ms from stopping to restored). Change: the record that an owner leaves says how long machines must be left alone after its last order (LeaseMs); the successor begins then. It counts only once its removal is stored, as with leases. Tests: the table passes the time on; the record frees the duty once, and not for an owner that takes over from one that said nothing.

--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -109,11 +109,12 @@
     return {CallVerdict::kReady};
   }
 
-  /// Takes nothing new, and calls `done` once all that was decided is stored.
-  void Release(std::function<void()> done) {
+  /// Takes nothing new, and calls `done` once all that was decided is stored. A successor leaves
+  /// the duty that goes with the cell alone for `duty_left`.
+  void Release(std::chrono::milliseconds duty_left, std::function<void()> done) {
     released_ = std::move(done);
     if (cell_ == nullptr) return FinishRelease();
-    cell_->PrepareHandover(Time());
+    cell_->PrepareHandover(duty_left, Time());
     Pump();
   }
 
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -12,6 +12,17 @@
 namespace wigeonlane {
 namespace {
 
+/// What a successor may rely on, in milliseconds from the time of writing.
+struct Handover {
+  std::map<std::string, std::int64_t> leases_left;  ///< By runner id.
+  std::int64_t duty_left = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(leases_left, duty_left);
+  }
+};
+
 void LogUnreadable(CellNumber cell, const std::string& key, std::string_view why) {
   LogError("unreadable_record", {{"cell", Concat(cell)}, {"key", key}, {"why", std::string(why)}});
 }
@@ -86,26 +97,28 @@
   }
 }
 
-void Cell::PrepareHandover(CellTime time) {
+void Cell::PrepareHandover(std::chrono::milliseconds duty_left, CellTime time) {
   authority_until_ = Instant{};
-  std::map<std::string, std::int64_t> left;
+  Handover record;
+  record.duty_left = duty_left.count();
   for (const auto& [key, runner] : runners_) {
     Instant end = runner.lease_end;
     if (unsettled_.contains(key)) end = std::max(end, runner.predecessor_end);
     const auto lasts = std::chrono::ceil<std::chrono::milliseconds>(end - time.now);
-    left[runner.listing.id] = std::max<std::int64_t>(lasts.count(), 0);
+    record.leases_left[runner.listing.id] = std::max<std::int64_t>(lasts.count(), 0);
   }
-  commits_.Put(std::string(kHandoverKey), Encode(left));
+  commits_.Put(std::string(kHandoverKey), Encode(record));
 }
 
 /// The predecessor wrote the record before we were dealt the cell, so that its times count from now
 /// at the latest. Runners that it does not name keep the longest bound.
 void Cell::RestoreHandover(const std::string& value, CellTime time) {
-  const auto left = Decode<std::map<std::string, std::int64_t>>(value);
-  if (!left.ok()) {
-    LogUnreadable(number_, std::string(kHandoverKey), MessageOf(left.status()));
+  const auto record = Decode<Handover>(value);
+  if (!record.ok()) {
+    LogUnreadable(number_, std::string(kHandoverKey), MessageOf(record.status()));
   } else {
-    for (const auto& [id, millis] : *left) {
+    duty_free_at_ = time.now + std::chrono::milliseconds(record->duty_left);
+    for (const auto& [id, millis] : record->leases_left) {
       const auto key = key_by_id_.find(id);
       if (key == key_by_id_.end()) continue;
       Runner& runner = runners_.at(key->second);
--- a/cells/cell_table.h
+++ b/cells/cell_table.h
@@ -4,6 +4,7 @@
 
 #include <asio/io_context.hpp>
 #include <asio/post.hpp>
+#include <chrono>
 #include <functional>
 #include <map>
 #include <memory>
@@ -19,8 +20,9 @@
 struct CellDuty {
   CellNumber cell = 0;
   std::function<void(TenureToken)> begin;
-  /// Nothing is done under the token after this. May be called when the duty is not held.
-  std::function<void()> end;
+  /// Nothing is done under the token after this. Returns how long a successor must leave alone what
+  /// was done last. May be called when the duty is not held.
+  std::function<std::chrono::milliseconds()> end;
 };
 
 /// Holds one `Host` for each cell that is owned here. A host that has ended is destroyed outside
@@ -54,12 +56,12 @@
 
   /// `released` is called once the host has stored what it decided, or at once when there is none.
   void Lose(CellNumber cell, std::function<void()> released) {
-    if (cell == duty_.cell) duty_.end();
+    const auto duty_left = cell == duty_.cell ? duty_.end() : std::chrono::milliseconds(0);
     const auto found = hosts_.find(cell);
     if (found == hosts_.end()) return asio::post(*io_, std::move(released));
     const TenureToken token = found->second->token();
     LogDecision("cell_lost", {{"cell", Concat(cell)}, {"token", Concat(token)}});
-    found->second->Release([this, cell, token, released = std::move(released)] {
+    found->second->Release(duty_left, [this, cell, token, released = std::move(released)] {
       asio::post(*io_, [this, cell, token, released] {
         Erase(cell, token);
         released();
@@ -69,11 +71,11 @@
 
   /// Ends all tenures; `done` is called once the last host has stored what it decided.
   void ReleaseAll(const std::function<void()>& done) {
-    duty_.end();
+    const auto duty_left = duty_.end();
     if (hosts_.empty()) return asio::post(*io_, done);
     auto left = std::make_shared<std::size_t>(hosts_.size());
     for (auto& [cell, host] : hosts_) {
-      host->Release([this, left, done] {
+      host->Release(duty_left, [this, left, done] {
         if (--*left == 0) asio::post(*io_, done);
       });
     }
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -76,7 +76,7 @@
              if (coordinator_ != nullptr) coordinator_->Start(token);
            },
            [this] {
-             if (coordinator_ != nullptr) coordinator_->Stop();
+             return coordinator_ == nullptr ? std::chrono::milliseconds(0) : coordinator_->Stop();
            }}),
       operator_watch_(&io_, &store_, {"keyed.op", kOperatorWait, std::chrono::milliseconds(0)},
                       [this](const std::set<std::string>& keys) { TakeOperatorChanges(keys); }),
@@ -115,6 +115,12 @@
   UpkeepCoordinator::Options options;
   options.holder = settings_.instance;
   options.cells = settings_.partitions;
+  options.machine_lease = settings_.machine_lease;
+  options.predecessor_left = [this]() -> std::optional<Instant> {
+    const Host* host = cells_.Find(kCoordinatorCell);
+    if (host == nullptr || host->cell() == nullptr) return {};
+    return host->cell()->duty_free_at();
+  };
   options.takeover_wait = settings_.cell.authority + settings_.machine_lease;
   coordinator_ =
       std::make_unique<UpkeepCoordinator>(&io_, machines_.get(), &store_, &router_, options);
--- a/daemon/upkeep_coordinator.cc
+++ b/daemon/upkeep_coordinator.cc
@@ -52,16 +52,25 @@
   balancer_.Reset();
   const std::uint64_t tenure = ++tenure_;
   LogDecision("upkeep_duty", {{"token", Concat(token)}, {"waves", Concat(waves_.size())}});
-  timer_.expires_after(options_.takeover_wait);
-  timer_.async_wait([this, tenure](asio::error_code error) {
-    if (!error && tenure == tenure_) ReadBegun(tenure);
+  AwaitPredecessor(tenure, clock_.Now() + options_.takeover_wait);
+}
+
+void UpkeepCoordinator::AwaitPredecessor(std::uint64_t tenure, Instant latest) {
+  const Instant free = std::min(options_.predecessor_left().value_or(latest), latest);
+  if (clock_.Now() >= free) return ReadBegun(tenure);
+  timer_.expires_after(kRound);
+  timer_.async_wait([this, tenure, latest](asio::error_code error) {
+    if (!error && tenure == tenure_) AwaitPredecessor(tenure, latest);
   });
 }
 
-void UpkeepCoordinator::Stop() {
+std::chrono::milliseconds UpkeepCoordinator::Stop() {
   ++tenure_;
   on_duty_ = false;
   timer_.cancel();
+  const Instant now = clock_.Now();
+  const auto left = machines_->LastOrder(now) + options_.machine_lease - now;
+  return std::max(std::chrono::ceil<std::chrono::milliseconds>(left), std::chrono::milliseconds(0));
 }
 
 bool UpkeepCoordinator::HasDuty(std::uint64_t tenure) const {
--- a/daemon/upkeep_coordinator.h
+++ b/daemon/upkeep_coordinator.h
@@ -30,6 +30,10 @@
     std::uint32_t cells = 0;  ///< To find the cell of a pool.
     /// A former holder's orders are over after this: its authority and the platform's lease.
     std::chrono::milliseconds takeover_wait{6'000};
+    /// How long the platform takes orders of one holder only (Bounds.LeaseMs).
+    std::chrono::milliseconds machine_lease{3'000};
+    /// When a former holder that left in good order frees the duty; nothing while that is unknown.
+    std::function<std::optional<Instant>()> predecessor_left = [] { return std::nullopt; };
   };
 
   UpkeepCoordinator(asio::io_context* io, MachineClient* machines, StoreClient* store,
@@ -37,8 +41,8 @@
 
   /// Takes the duty over under `token`, after the wait.
   void Start(TenureToken token);
-  /// Gives the duty up. Orders under way are not waited for.
-  void Stop();
+  /// Gives the duty up. Returns how long another holder must order nothing.
+  std::chrono::milliseconds Stop();
   void ExtendAuthority(Instant until) { authority_until_ = std::max(authority_until_, until); }
 
   void SetPools(std::vector<PoolConfig> pools) { balancer_.SetPools(std::move(pools)); }
@@ -47,6 +51,7 @@
 
  private:
   bool HasDuty(std::uint64_t tenure) const;
+  void AwaitPredecessor(std::uint64_t tenure, Instant latest);
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
   void RoundLater(std::uint64_t tenure);
--- a/tests/cells/cell_table_test.cc
+++ b/tests/cells/cell_table_test.cc
@@ -8,8 +8,11 @@
 namespace wigeonlane {
 namespace {
 
+using std::chrono::milliseconds;
+
 constexpr CellNumber kDutyCell = 0;
 constexpr CellNumber kOtherCell = 3;
+constexpr milliseconds kDutyLeft{700};
 
 /// A host that ends or is released when the test says so.
 class ScriptedHost {
@@ -17,11 +20,15 @@
   explicit ScriptedHost(TenureToken token) : token_(token) {}
 
   void Start(std::function<void()> done) { ended = std::move(done); }
-  void Release(std::function<void()> done) { released = std::move(done); }
+  void Release(milliseconds duty, std::function<void()> done) {
+    duty_left = duty;
+    released = std::move(done);
+  }
   TenureToken token() const { return token_; }
 
   std::function<void()> ended;
   std::function<void()> released;
+  milliseconds duty_left{-1};
 
  private:
   TenureToken token_;
@@ -34,7 +41,11 @@
             &io_,
             [](CellNumber, TenureToken token) { return std::make_unique<ScriptedHost>(token); },
             [this](CellNumber, TenureToken token) { deposed_.push_back(token); },
-            {kDutyCell, [this](TenureToken token) { duty_ = token; }, [this] { duty_.reset(); }}) {}
+            {kDutyCell, [this](TenureToken token) { duty_ = token; },
+             [this] {
+               duty_.reset();
+               return kDutyLeft;
+             }}) {}
 
   asio::io_context io_;
   std::optional<TenureToken> duty_;
@@ -58,6 +69,7 @@
   table_.Lose(kDutyCell, [&] { released = true; });
   CHECK_FALSE(duty_);
   CHECK_FALSE(released);
+  CHECK(table_.Find(kDutyCell)->duty_left == kDutyLeft);
   table_.Find(kDutyCell)->released();
   io_.run();
   CHECK(released);
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -436,7 +436,7 @@
   OnOwner(index, [this, index](Owner* owner) {
     if (owner->cell == nullptr || owner->leaving || index + 1 != owners_.size()) return;
     owner->leaving = true;
-    owner->cell->PrepareHandover(Time());
+    owner->cell->PrepareHandover(milliseconds(0), Time());
     Pump(index);
     FinishHandOver(index, now_ + kReleaseTime);
   });
--- a/tests/cells/cell_world_test.cc
+++ b/tests/cells/cell_world_test.cc
@@ -200,5 +200,17 @@
   CHECK(world_.broken().empty());
 }
 
+TEST_CASE_METHOD(CellWorldTest, "Duty_PredecessorHandedOver_IsFreeOnceItsRecordIsRemoved") {
+  world_.Submit(0, 20);
+  world_.Advance(milliseconds(300));
+  CHECK_FALSE(world_.cell()->duty_free_at());
+  world_.HandOver();
+  world_.Advance(milliseconds(200));
+  CHECK(world_.cell()->duty_free_at());
+  world_.TakeOver(true);  // The record is gone, and this owner said nothing.
+  world_.Advance(milliseconds(200));
+  CHECK_FALSE(world_.cell()->duty_free_at());
+}
+
 }  // namespace
 }  // namespace wigeonlane
