coordinator: machines are ordered for 1.5 s after a renewal

Cause: after a kill of the owner of cell 0 no machine moved for 6 s: the authority of its predecessor (3 s) and the platform's lease (3 s). Change: orders for machines stop 1.5 s after the last renewal, three times its period, so a successor waits 4.5 s. Starts keep 3 s.

--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -17,6 +17,9 @@
 constexpr std::string_view kWavePrefix = "wave/";
 /// Whoever owns this cell orders the machines as well.
 constexpr CellNumber kCoordinatorCell = 0;
+/// Machines are ordered for this long after a renewal was sent, three times its period (500 ms). An
+/// outage of the store stops moves earlier than starts, and a successor waits less.
+constexpr std::chrono::milliseconds kMachineAuthority{1'500};
 /// The configuration must be in force 2 s after its acknowledgement (ConfigApplyMs); a read that
 /// hangs for longer than this and its margin is repeated on a new connection.
 constexpr std::chrono::milliseconds kOperatorWait{700};
@@ -121,7 +124,7 @@
     if (host == nullptr || host->cell() == nullptr) return {};
     return host->cell()->duty_free_at();
   };
-  options.takeover_wait = settings_.cell.authority + settings_.machine_lease;
+  options.takeover_wait = kMachineAuthority + settings_.machine_lease;
   coordinator_ =
       std::make_unique<UpkeepCoordinator>(&io_, machines_.get(), &store_, &router_, options);
 }
@@ -184,7 +187,7 @@
 void JobInstance::TakeRenewal(Instant sent) {
   const Instant until = sent + settings_.cell.authority;
   for (const auto& [cell, host] : cells_.hosts()) host->ExtendAuthority(until);
-  if (coordinator_ != nullptr) coordinator_->ExtendAuthority(until);
+  if (coordinator_ != nullptr) coordinator_->ExtendAuthority(sent + kMachineAuthority);
 }
 
 void JobInstance::TakeConfig() {
