cells: submissions that have not left are refused once the store hangs

Ruled out: taking back the append itself (it may have been stored; only an outright refusal of every attempt would prove it was not). The world's oracle now checks REFUSED: a job whose every attempt was refused must not run (before, each attempt counted as perhaps accepted).

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -71,23 +71,53 @@
   }
   const bool stalled = commits_.Stall(time.now) > options_.commit_stall;
   if (stalled || !HasAuthority(time.now)) {
-    ++counters_.refused;
-    LogDecision("refuse", {{"job", std::string(id.text())},
-                           {"cell", Concat(number_)},
-                           {"why", stalled ? "store_stalled" : "no_authority"}});
-    return Answer(call, {CallVerdict::kRefused, JobState::kQueued, 0, kStoreRetryAfter});
+    return Refuse(call, id, stalled ? "store_stalled" : "no_authority");
   }
   record.accepted = time.wall.time_since_epoch();
   const BatchNumber batch = commits_.Put(JobKey(id), Encode(record));
   auto entry = std::make_unique<JobEntry>(
       Job(id, std::move(record.spec), std::move(record.policy), time.wall));
   entry->accepted_at = time.now;
+  entry->accept_batch = batch;
   entry->accept_calls.push_back(call);
   jobs_.emplace(id, std::move(entry));
   open_.insert(id);
   effects_[batch].push_back({id, JobState::kQueued});
 }
 
+void Cell::Refuse(CallNumber call, const JobId& id, std::string_view why) {
+  ++counters_.refused;
+  LogDecision(
+      "refuse",
+      {{"job", std::string(id.text())}, {"cell", Concat(number_)}, {"why", std::string(why)}});
+  Answer(call, {CallVerdict::kRefused, JobState::kQueued, 0, kStoreRetryAfter});
+}
+
+/// Jobs that came after the append that hangs have not left this process: their callers need not
+/// wait for its outcome.
+void Cell::RefuseUnsent() {
+  std::vector<JobId> unsent;
+  for (const JobId& id : open_) {
+    const JobEntry& entry = *jobs_.at(id);
+    if (!entry.accepted && entry.accept_batch > commits_.last_batch()) unsent.push_back(id);
+  }
+  for (const JobId& id : unsent) {
+    const JobEntry& entry = *jobs_.at(id);
+    for (const CallNumber call : entry.accept_calls) Refuse(call, id, "store_stalled");
+    for (const CallNumber call : entry.cancel_calls) Answer(call, {CallVerdict::kNotFound});
+    commits_.Withdraw(JobKey(id));
+    commits_.Withdraw(ProgressKey(id));
+    dirty_.erase(id);
+    open_.erase(id);
+    jobs_.erase(id);
+    // The same id may come again and be in a later batch.
+    for (auto& [batch, effects] : effects_) {
+      if (batch <= commits_.last_batch()) continue;
+      std::erase_if(effects, [&](const Effect& effect) { return effect.job == id; });
+    }
+  }
+}
+
 void Cell::Cancel(CallNumber call, const JobId& id, CellTime time) {
   JobEntry* entry = FindJob(id);
   if (entry == nullptr) return Answer(call, {CallVerdict::kNotFound});
@@ -223,13 +253,18 @@
   AdvanceRunners(time);
   ExpireFinished(time);
   Schedule(time);
+  if (commits_.Stall(time.now) > options_.commit_stall) RefuseUnsent();
   Commit(time);
 }
 
 Instant Cell::NextWake(Instant now) const {
   Instant wake = now + kIdleWake;
   if (const auto commit = commits_.NextTime()) wake = std::min(wake, *commit);
-  if (!dirty_.empty() && commits_.Stall(now) == Duration::zero()) {
+  const Duration stall = commits_.Stall(now);
+  if (stall > Duration::zero() && stall <= options_.commit_stall) {
+    wake = std::min(wake, now + options_.commit_stall - stall + std::chrono::milliseconds(1));
+  }
+  if (!dirty_.empty() && stall == Duration::zero()) {
     wake = std::min(wake, now + options_.commit_gap);
   }
   for (const auto& [key, runner] : runners_) {
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -141,6 +141,7 @@
     bool accepted = false;                ///< The store holds the job.
     bool inherited = false;               ///< A predecessor may have started its tasks.
     Instant accepted_at{};
+    BatchNumber accept_batch = 0;  ///< The batch that carries it.
     Instant ended_at{};
     std::vector<CallNumber> accept_calls;
     std::vector<CallNumber> cancel_calls;
@@ -178,6 +179,8 @@
   void Answer(CallNumber call, CallAnswer answer);
   BatchNumber MarkDirty(JobEntry* entry);
   void FlushDirty();
+  void Refuse(CallNumber call, const JobId& id, std::string_view why);
+  void RefuseUnsent();
   void Commit(CellTime time);
   void NoteArrival(const Job& job, Instant now);
   void ApplyEffect(const Effect& effect, CellTime time);
--- a/cells/commit_queue.cc
+++ b/cells/commit_queue.cc
@@ -10,6 +10,13 @@
   return batch_ + 1;
 }
 
+void CommitQueue::Withdraw(const std::string& key) {
+  const auto found = waiting_.find(key);
+  if (found == waiting_.end()) return;
+  waiting_bytes_ -= key.size() + (found->second ? found->second->size() : 0);
+  waiting_.erase(found);
+}
+
 std::optional<AppendOrder> CommitQueue::Next(Instant now) {
   const auto time = NextTime();
   if (!time || *time > now) return {};
--- a/cells/commit_queue.h
+++ b/cells/commit_queue.h
@@ -27,6 +27,9 @@
   /// Adds a record and returns the batch that will carry it.
   BatchNumber Put(std::string key, std::optional<std::string> value);
 
+  /// Takes a record back that no batch has carried yet.
+  void Withdraw(const std::string& key);
+
   /// The next batch, when none is under way and the gap since the last has passed.
   std::optional<AppendOrder> Next(Instant now);
 
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -195,8 +195,15 @@
 
 void CellWorld::TakeAnswer(Owner* owner, const CallerAnswerOrder& order) {
   if (const auto submit = owner->submits.find(order.call); submit != owner->submits.end()) {
-    if (order.answer.verdict == CallVerdict::kAccepted) oracle_.Accepted(submit->second);
+    const JobId id = submit->second;
     owner->submits.erase(submit);
+    if (order.answer.verdict == CallVerdict::kAccepted) oracle_.Accepted(id);
+    const bool awaited = std::any_of(owners_.begin(), owners_.end(), [&](const auto& each) {
+      return std::any_of(each->submits.begin(), each->submits.end(),
+                         [&](const auto& call) { return call.second == id; });
+    });
+    // A call that an owner took to its end unanswered may have been stored.
+    if (order.answer.verdict == CallVerdict::kRefused && !awaited) oracle_.Refused(id);
   }
   if (const auto cancel = owner->cancels.find(order.call); cancel != owner->cancels.end()) {
     if (order.answer.verdict == CallVerdict::kCancelled) {
--- a/tests/cells/job_oracle.h
+++ b/tests/cells/job_oracle.h
@@ -18,6 +18,8 @@
   void Submitted(const JobId& id, const JobRecord& record) { jobs_[id].record = record; }
   void Accepted(const JobId& id) { jobs_[id].accepted = true; }
   void MaybeAccepted(const JobId& id) { jobs_[id].maybe = true; }
+  /// Every attempt to hand the job in was refused.
+  void Refused(const JobId& id) { jobs_[id].maybe = false; }
   void CancelAcknowledged(const JobId& id, Instant now) { jobs_[id].cancelled.emplace(now); }
   bool Knows(const JobId& id) const { return jobs_.contains(id); }
   bool WasAccepted(const JobId& id) const { return jobs_.at(id).accepted; }
