--- a/cells/cell.h
+++ b/cells/cell.h
@@ -84,7 +84,7 @@
 
   /// Reserves a runner for upkeep: nothing starts there any more. Says whether it may be taken
   /// now, which is when nothing runs on it that should not be ended.
-  CallAnswer PrepareUpkeep(const std::string& runner_id, CellTime time);
+  CallAnswer ReserveRunner(const std::string& runner_id, CellTime time);
 
   /// The machine of a runner was taken down: that life is over.
   void RunnerGone(const std::string& runner_id, CellTime time);
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -95,9 +95,9 @@
     return active() ? cell_->ReportLoads(Time()) : CallAnswer{CallVerdict::kNotOwner};
   }
 
-  CallAnswer PrepareUpkeep(const std::string& runner) {
+  CallAnswer ReserveRunner(const std::string& runner) {
     if (!active()) return {CallVerdict::kNotOwner};
-    CallAnswer answer = cell_->PrepareUpkeep(runner, Time());
+    CallAnswer answer = cell_->ReserveRunner(runner, Time());
     Pump();
     return answer;
   }
--- a/cells/cell_messages.h
+++ b/cells/cell_messages.h
@@ -16,7 +16,7 @@
   kCancel,
   kShow,
   kCountPending,
-  kPrepareUpkeep,
+  kReserveRunner,
   kRunnerGone,     ///< The machine of the runner `name` was taken down.
   kReportLoads,    ///< Of all services of the cell.
   kOwnersChanged,  ///< An instance has left: renew the membership and read the owners anew.
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -308,7 +308,7 @@
   }
 }
 
-CallAnswer Cell::PrepareUpkeep(const std::string& runner_id, CellTime time) {
+CallAnswer Cell::ReserveRunner(const std::string& runner_id, CellTime time) {
   const auto key = key_by_id_.find(runner_id);
   Runner* runner = key == key_by_id_.end() ? nullptr : FindRunner(key->second);
   if (runner == nullptr || !runner->claimed || !settled()) return {CallVerdict::kNotReady};
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -115,7 +115,7 @@
       shutdown_timer_(io_) {
   if (!settings_.machines) return;
   machines_ = std::make_unique<MachineClient>(&io_, *settings_.machines, &metrics_);
-  UpkeepCoordinator::Options options;
+  MachineCoordinator::Options options;
   options.holder = settings_.instance;
   options.cells = settings_.partitions;
   options.machine_lease = settings_.machine_lease;
@@ -126,7 +126,7 @@
   };
   options.takeover_wait = kMachineAuthority + settings_.machine_lease;
   coordinator_ =
-      std::make_unique<UpkeepCoordinator>(&io_, machines_.get(), &store_, &router_, options);
+      std::make_unique<MachineCoordinator>(&io_, machines_.get(), &store_, &router_, options);
 }
 
 absl::Status JobInstance::Run() {
@@ -254,8 +254,8 @@
       return answered(host->Show(call.job));
     case CellVerb::kCountPending:
       return answered(host->CountPending(call.name));
-    case CellVerb::kPrepareUpkeep:
-      return answered(host->PrepareUpkeep(call.name));
+    case CellVerb::kReserveRunner:
+      return answered(host->ReserveRunner(call.name));
     case CellVerb::kReportLoads:
       return answered(host->ReportLoads());
     case CellVerb::kRunnerGone:
--- a/daemon/job_instance.h
+++ b/daemon/job_instance.h
@@ -17,7 +17,7 @@
 #include "cells/ownership.h"
 #include "core/boot_clock.h"
 #include "core/metrics.h"
-#include "daemon/upkeep_coordinator.h"
+#include "daemon/machine_coordinator.h"
 #include "jobs/route_table.h"
 #include "net/async_http_server.h"
 #include "net/frame_link.h"
@@ -69,8 +69,8 @@
   HttpServerLimits limits_;
   CallRouter router_;
   CallerApi callers_;
-  std::unique_ptr<MachineClient> machines_;         ///< Null where there is no machine API.
-  std::unique_ptr<UpkeepCoordinator> coordinator_;  ///< As above.
+  std::unique_ptr<MachineClient> machines_;          ///< Null where there is no machine API.
+  std::unique_ptr<MachineCoordinator> coordinator_;  ///< As above.
   Ownership<StoreClient, BootClock> ownership_;
   CellTable<Host> cells_;
   KeyedWatch operator_watch_;
--- a/daemon/upkeep_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -1,4 +1,4 @@
-#include "daemon/upkeep_coordinator.h"
+#include "daemon/machine_coordinator.h"
 
 #include <algorithm>
 #include <charconv>
@@ -35,8 +35,8 @@
 
 }  // namespace
 
-UpkeepCoordinator::UpkeepCoordinator(asio::io_context* io, MachineClient* machines,
-                                     StoreClient* store, CallRouter* router, Options options)
+MachineCoordinator::MachineCoordinator(asio::io_context* io, MachineClient* machines,
+                                       StoreClient* store, CallRouter* router, Options options)
     : machines_(machines),
       store_(store),
       router_(router),
@@ -44,7 +44,7 @@
       balancer_(machines, router, options_.cells),
       timer_(*io) {}
 
-void UpkeepCoordinator::Start(TenureToken token) {
+void MachineCoordinator::Start(TenureToken token) {
   token_ = token;
   on_duty_ = true;
   plans_.clear();
@@ -55,7 +55,7 @@
   AwaitPredecessor(tenure, clock_.Now() + options_.takeover_wait);
 }
 
-void UpkeepCoordinator::AwaitPredecessor(std::uint64_t tenure, Instant latest) {
+void MachineCoordinator::AwaitPredecessor(std::uint64_t tenure, Instant latest) {
   const Instant free = std::min(options_.predecessor_left().value_or(latest), latest);
   if (clock_.Now() >= free) return ReadBegun(tenure);
   timer_.expires_after(kRound);
@@ -64,7 +64,7 @@
   });
 }
 
-std::chrono::milliseconds UpkeepCoordinator::Stop() {
+std::chrono::milliseconds MachineCoordinator::Stop() {
   ++tenure_;
   on_duty_ = false;
   timer_.cancel();
@@ -73,15 +73,15 @@
   return std::max(std::chrono::ceil<std::chrono::milliseconds>(left), std::chrono::milliseconds(0));
 }
 
-bool UpkeepCoordinator::HasDuty(std::uint64_t tenure) const {
+bool MachineCoordinator::HasDuty(std::uint64_t tenure) const {
   return on_duty_ && tenure == tenure_ && clock_.Now() < authority_until_;
 }
 
-void UpkeepCoordinator::SetWaves(const std::vector<UpkeepWave>& waves) {
+void MachineCoordinator::SetWaves(const std::vector<UpkeepWave>& waves) {
   for (const UpkeepWave& wave : waves) waves_.emplace(wave.number, wave);
 }
 
-void UpkeepCoordinator::ReadBegun(std::uint64_t tenure) {
+void MachineCoordinator::ReadBegun(std::uint64_t tenure) {
   store_->Snapshot(
       {std::string(kUpkeepTopic), 0}, [this, tenure](absl::StatusOr<KeyedSnapshot> snapshot) {
         if (tenure != tenure_) return;
@@ -103,14 +103,14 @@
       });
 }
 
-void UpkeepCoordinator::RoundLater(std::uint64_t tenure) {
+void MachineCoordinator::RoundLater(std::uint64_t tenure) {
   timer_.expires_after(answered_.empty() ? kRound : kSoon);
   timer_.async_wait([this, tenure](asio::error_code error) {
     if (!error && tenure == tenure_) Round(tenure);
   });
 }
 
-void UpkeepCoordinator::Round(std::uint64_t tenure) {
+void MachineCoordinator::Round(std::uint64_t tenure) {
   for (const auto& [number, wave] : waves_) {
     if (plans_.contains(number) || completed_.contains(number)) continue;
     WavePlan& plan = plans_.emplace(number, WavePlan(wave, clock_.Now())).first->second;
@@ -136,7 +136,7 @@
 }
 
 /// Tells the owners of runners whose machines are down that these lives are over.
-void UpkeepCoordinator::ReportGone(const MachineList& machines) {
+void MachineCoordinator::ReportGone(const MachineList& machines) {
   for (const auto& [name, before] : std::exchange(answered_, {})) {
     const auto listed = machines.find(name);
     if (before.runner.empty() || listed == machines.end() || listed->second.up) continue;
@@ -145,7 +145,7 @@
   }
 }
 
-void UpkeepCoordinator::TakeList(const MachineList& machines, std::uint64_t tenure) {
+void MachineCoordinator::TakeList(const MachineList& machines, std::uint64_t tenure) {
   ReportGone(machines);
   for (auto it = plans_.begin(); it != plans_.end();) {
     AdvancePlan(&it->second, machines, tenure);
@@ -164,8 +164,8 @@
                   [this, tenure] { return HasDuty(tenure); });
 }
 
-void UpkeepCoordinator::AdvancePlan(WavePlan* plan, const MachineList& machines,
-                                    std::uint64_t tenure) {
+void MachineCoordinator::AdvancePlan(WavePlan* plan, const MachineList& machines,
+                                     std::uint64_t tenure) {
   plan->TakeMachines(machines, clock_.Now());
   for (const std::string& machine : plan->Unanswered()) {
     const auto listed = machines.find(machine);
@@ -176,7 +176,7 @@
   }
 }
 
-CellCall UpkeepCoordinator::CallFor(CellVerb verb, const ListedMachine& machine) const {
+CellCall MachineCoordinator::CallFor(CellVerb verb, const ListedMachine& machine) const {
   CellCall call;
   call.verb = verb;
   call.cell = CellOfService(machine.pool, options_.cells);
@@ -184,17 +184,17 @@
   return call;
 }
 
-void UpkeepCoordinator::Prepare(std::uint64_t wave, const ListedMachine& machine,
-                                std::uint64_t tenure) {
+void MachineCoordinator::Prepare(std::uint64_t wave, const ListedMachine& machine,
+                                 std::uint64_t tenure) {
   if (machine.runner.empty()) return Order(wave, machine, tenure);
-  router_->Call(CallFor(CellVerb::kPrepareUpkeep, machine), kHandover, kAskTimeout,
+  router_->Call(CallFor(CellVerb::kReserveRunner, machine), kHandover, kAskTimeout,
                 [this, wave, machine, tenure](const CallAnswer& answer) {
                   if (answer.verdict == CallVerdict::kReady) Order(wave, machine, tenure);
                 });
 }
 
-void UpkeepCoordinator::Order(std::uint64_t wave, const ListedMachine& machine,
-                              std::uint64_t tenure) {
+void MachineCoordinator::Order(std::uint64_t wave, const ListedMachine& machine,
+                               std::uint64_t tenure) {
   const auto plan = plans_.find(wave);
   if (!HasDuty(tenure) || plan == plans_.end()) return;
   const auto unanswered = plan->second.Unanswered();
@@ -208,8 +208,8 @@
                     });
 }
 
-void UpkeepCoordinator::Ordered(std::uint64_t wave, const ListedMachine& machine,
-                                MachineAnswer answer, std::uint64_t tenure) {
+void MachineCoordinator::Ordered(std::uint64_t wave, const ListedMachine& machine,
+                                 MachineAnswer answer, std::uint64_t tenure) {
   LogDecision("upkeep_order", {{"wave", Concat(wave)},
                                {"machine", machine.machine},
                                {"runner", machine.runner},
@@ -237,12 +237,12 @@
   }
 }
 
-void UpkeepCoordinator::StoreBegun(const WavePlan& plan) {
+void MachineCoordinator::StoreBegun(const WavePlan& plan) {
   store_->Put({std::string(kUpkeepTopic), 0}, {{Concat(plan.wave().number), Encode(plan.Begun())}},
               [](AppendResult result) { LogIfLost("upkeep begun", result); });
 }
 
-void UpkeepCoordinator::StoreStatus(std::uint64_t wave, bool completed) {
+void MachineCoordinator::StoreStatus(std::uint64_t wave, bool completed) {
   store_->Put({std::string(kStatusTopic), 0}, {{WaveKey(wave), EncodeWaveStatus(completed)}},
               [](AppendResult result) { LogIfLost("wave status", result); });
 }
--- a/daemon/upkeep_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -1,6 +1,6 @@
-/// Carries maintenance waves out: one instance at a time orders all machines.
-#ifndef WIGEONLANE_DAEMON_UPKEEP_COORDINATOR_H_
-#define WIGEONLANE_DAEMON_UPKEEP_COORDINATOR_H_
+/// Upkeep and moves of machines, ordered by the owner of one cell.
+#ifndef WIGEONLANE_DAEMON_MACHINE_COORDINATOR_H_
+#define WIGEONLANE_DAEMON_MACHINE_COORDINATOR_H_
 
 #include <asio/io_context.hpp>
 #include <asio/steady_timer.hpp>
@@ -23,7 +23,7 @@
 
 /// Holds the duty while this instance owns the coordinator's cell. Machines that a former holder
 /// took down are read from the store, so that a takeover repeats nothing.
-class UpkeepCoordinator {
+class MachineCoordinator {
  public:
   struct Options {
     std::string holder;       ///< Name under which machines are ordered.
@@ -36,8 +36,8 @@
     std::function<std::optional<Instant>()> predecessor_left = [] { return std::nullopt; };
   };
 
-  UpkeepCoordinator(asio::io_context* io, MachineClient* machines, StoreClient* store,
-                    CallRouter* router, Options options);
+  MachineCoordinator(asio::io_context* io, MachineClient* machines, StoreClient* store,
+                     CallRouter* router, Options options);
 
   /// Takes the duty over under `token`, after the wait.
   void Start(TenureToken token);
@@ -88,4 +88,4 @@
 
 }  // namespace wigeonlane
 
-#endif  // WIGEONLANE_DAEMON_UPKEEP_COORDINATOR_H_
+#endif  // WIGEONLANE_DAEMON_MACHINE_COORDINATOR_H_
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -133,7 +133,7 @@
 void PoolBalancer::Prepare(const std::string& machine, const OrderHolder& holder,
                            const std::function<bool()>& may_order) {
   CellCall call;
-  call.verb = CellVerb::kPrepareUpkeep;
+  call.verb = CellVerb::kReserveRunner;
   call.cell = CellOfService(moves_.at(machine).before.pool, cells_);
   call.name = moves_.at(machine).before.runner;
   router_->Call(std::move(call), std::chrono::milliseconds(0), kAskTimeout,
