net: one acceptor for all servers

Cause: the acceptor stood twice; the one for other instances went on at once after a failed accept, which would spin while no descriptor is left. Change: TcpAcceptor, with the pause of the other. Ruled out: a pause in the copy.

--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -22,9 +22,6 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kReadBytes = 4 * 1024;
-constexpr int kBacklog = 1024;
-/// Pause after a failed accept, which means that descriptors have run out.
-constexpr std::chrono::milliseconds kAcceptPause{50};
 constexpr int kBadRequest = 400;
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
@@ -206,54 +203,6 @@
   bool told_to_continue_ = false;
 };
 
-/// Accepts connections until it is closed.
-class AsyncHttpServer::Acceptor : public std::enable_shared_from_this<Acceptor> {
- public:
-  explicit Acceptor(std::shared_ptr<Shared> shared)
-      : acceptor_(*shared->io), pause_(*shared->io), shared_(std::move(shared)) {}
-
-  asio::error_code Open(const Endpoint& at) {
-    asio::error_code error;
-    const tcp::endpoint local(asio::ip::make_address(at.host, error), at.port);
-    if (!error) acceptor_.open(local.protocol(), error);
-    if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error) acceptor_.bind(local, error);
-    if (!error) acceptor_.listen(kBacklog, error);
-    if (!error) Accept();
-    return error;
-  }
-
-  void Close() {
-    asio::error_code ignored;
-    acceptor_.close(ignored);
-    pause_.cancel();
-  }
-
- private:
-  void Accept() {
-    acceptor_.async_accept([self = shared_from_this()](asio::error_code error, tcp::socket socket) {
-      if (error == asio::error::operation_aborted) return;
-      if (error) return self->AcceptLater(error);
-      if (self->shared_->sessions.size() < self->shared_->limits().most_connections) {
-        std::make_shared<Session>(std::move(socket), self->shared_)->Start();
-      }
-      self->Accept();
-    });
-  }
-
-  void AcceptLater(const asio::error_code& error) {
-    LogWarning("accept_failed", {{"why", error.message()}});
-    pause_.expires_after(kAcceptPause);
-    pause_.async_wait([self = shared_from_this()](asio::error_code stopped) {
-      if (!stopped) self->Accept();
-    });
-  }
-
-  tcp::acceptor acceptor_;
-  asio::steady_timer pause_;
-  std::shared_ptr<Shared> shared_;
-};
-
 AsyncHttpServer::AsyncHttpServer(asio::io_context* io, Handler handler, Limits limits)
     : shared_(std::make_shared<Shared>()) {
   shared_->io = io;
@@ -269,12 +218,11 @@
 }
 
 absl::Status AsyncHttpServer::Listen(const Endpoint& at) {
-  acceptor_ = std::make_shared<Acceptor>(shared_);
-  if (const asio::error_code error = acceptor_->Open(at)) {
-    return absl::UnavailableError(
-        Concat("cannot listen on ", at.ToString(), ": ", error.message()));
-  }
-  return absl::OkStatus();
+  acceptor_ = std::make_shared<TcpAcceptor>(shared_->io, [shared = shared_](tcp::socket socket) {
+    if (shared->sessions.size() >= shared->limits().most_connections) return;
+    std::make_shared<Session>(std::move(socket), shared)->Start();
+  });
+  return acceptor_->Listen(at);
 }
 
 void AsyncHttpServer::Drain() {
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -12,6 +12,7 @@
 #include "absl/status/status.h"
 #include "core/settings.h"
 #include "net/http_message.h"
+#include "net/tcp_acceptor.h"
 
 namespace wigeonlane {
 
@@ -47,10 +48,9 @@
  private:
   struct Shared;
   class Session;
-  class Acceptor;
 
   std::shared_ptr<Shared> shared_;
-  std::shared_ptr<Acceptor> acceptor_;
+  std::shared_ptr<TcpAcceptor> acceptor_;
 };
 
 }  // namespace wigeonlane
--- a/net/frame_link.cc
+++ b/net/frame_link.cc
@@ -25,7 +25,6 @@
 /// A job's body is at most a few hundred KB; larger frames come from no instance of ours.
 constexpr std::uint32_t kLargestFrame = 4 * 1024 * 1024;
 constexpr std::chrono::milliseconds kUserTimeout{2'000};
-constexpr int kBacklog = 256;
 
 std::string Frame(std::uint64_t call, std::string_view bytes) {
   std::string frame(kHeaderBytes, '\0');
@@ -264,45 +263,6 @@
 
 }  // namespace
 
-/// Accepts connections of other instances until it is closed.
-class FrameServer::Acceptor : public std::enable_shared_from_this<Acceptor> {
- public:
-  Acceptor(asio::io_context* io, std::shared_ptr<Handler> handler)
-      : acceptor_(*io), handler_(std::move(handler)) {}
-
-  asio::error_code Open(const Endpoint& at) {
-    asio::error_code error;
-    const tcp::endpoint local(asio::ip::make_address(at.host, error), at.port);
-    if (!error) acceptor_.open(local.protocol(), error);
-    if (!error) acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error) acceptor_.bind(local, error);
-    if (!error) acceptor_.listen(kBacklog, error);
-    if (!error) Accept();
-    return error;
-  }
-
-  void Close() {
-    asio::error_code ignored;
-    acceptor_.close(ignored);
-  }
-
- private:
-  void Accept() {
-    acceptor_.async_accept([self = shared_from_this()](asio::error_code error, tcp::socket socket) {
-      if (error == asio::error::operation_aborted) return;
-      if (error) {
-        LogWarning("peer_accept_failed", {{"why", error.message()}});
-      } else {
-        ServeConnection(std::move(socket), self->handler_);
-      }
-      self->Accept();
-    });
-  }
-
-  tcp::acceptor acceptor_;
-  std::shared_ptr<Handler> handler_;
-};
-
 FrameServer::FrameServer(asio::io_context* io, Handler handler)
     : io_(io), handler_(std::make_shared<Handler>(std::move(handler))) {}
 
@@ -311,12 +271,10 @@
 }
 
 absl::Status FrameServer::Listen(const Endpoint& at) {
-  acceptor_ = std::make_shared<Acceptor>(io_, handler_);
-  if (const asio::error_code error = acceptor_->Open(at)) {
-    return absl::UnavailableError(
-        Concat("cannot listen on ", at.ToString(), ": ", error.message()));
-  }
-  return absl::OkStatus();
+  acceptor_ = std::make_shared<TcpAcceptor>(io_, [handler = handler_](tcp::socket socket) {
+    ServeConnection(std::move(socket), handler);
+  });
+  return acceptor_->Listen(at);
 }
 
 }  // namespace wigeonlane
--- a/net/frame_link.h
+++ b/net/frame_link.h
@@ -13,6 +13,7 @@
 #include "absl/status/statusor.h"
 #include "core/settings.h"
 #include "core/verdict.h"
+#include "net/tcp_acceptor.h"
 
 namespace wigeonlane {
 
@@ -60,11 +61,9 @@
   absl::Status Listen(const Endpoint& at);
 
  private:
-  class Acceptor;
-
   asio::io_context* io_;
   std::shared_ptr<Handler> handler_;
-  std::shared_ptr<Acceptor> acceptor_;
+  std::shared_ptr<TcpAcceptor> acceptor_;
 };
 
 }  // namespace wigeonlane
