cell host: a timer that has fired does nothing once its host is gone

The timer had fired, its handler was queued, and destroying a timer does not take a queued handler back. Ruled out: the orders and answers of runners and store (guarded already), the router's links. Change: timers of a host are guarded as its other callbacks are. Test: cell_host_test destroys a host between the firing of its timer and the handler; SIGSEGV before, passes after.

--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -135,10 +135,18 @@
   TopicPart Part() const { return {std::string(kJobsTopic), number_}; }
 
   void After(std::chrono::milliseconds pause, std::function<void()> action) {
-    timer_.expires_after(pause);
-    timer_.async_wait([action = std::move(action)](asio::error_code error) {
-      if (!error) action();
-    });
+    SetTimer(&timer_, pause, std::move(action));
+  }
+
+  /// A timer that has fired may have its handler queued when the host is destroyed, and destroying
+  /// the timer does not take it back.
+  void SetTimer(asio::steady_timer* timer, std::chrono::milliseconds pause,
+                std::function<void()> action) {
+    timer->expires_after(pause);
+    timer->async_wait(
+        [alive = std::weak_ptr<int>(alive_), action = std::move(action)](asio::error_code error) {
+          if (!error && !alive.expired()) action();
+        });
   }
 
   /// No append of a predecessor can be carried out after this.
@@ -195,10 +203,7 @@
   void WakeLater() {
     const Instant now = clock_->Now();
     const auto pause = std::chrono::ceil<std::chrono::milliseconds>(cell_->NextWake(now) - now);
-    timer_.expires_after(std::max(pause, kLeastPause));
-    timer_.async_wait([this](asio::error_code error) {
-      if (!error) Pump();
-    });
+    After(std::max(pause, kLeastPause), [this] { Pump(); });
   }
 
   void AnswerCall(const CallerAnswerOrder& order) {
@@ -230,11 +235,7 @@
       case AppendResult::kUnknown:
         return Append();  // The first answer comes again for the same sequence number.
       case AppendResult::kRefused:
-        retry_.expires_after(kStoreRetry);
-        retry_.async_wait([this](asio::error_code error) {
-          if (!error) Append();
-        });
-        return;
+        return SetTimer(&retry_, kStoreRetry, [this] { Append(); });
     }
   }
 
