cells: tasks that found no place are tried again while nothing happens

Log: the coordinator reserved all runners of a pool to give machines back, the last run of the cell ended while the reservations stood, and nothing was tried after they had lapsed: placement follows events, and an idle cell whose listings do not change has none. The same held for pauses after refusals, suspects, restarts and tickets. Ruled out: a lost authority (jobs went on being completed), full runners (nothing ran), settling (the job was accepted by this owner). Change: as long as ready tasks wait, placement is tried each 200 ms. The world told its cell all listings each 500 ms, which hid this; it now tells changes only, as discovery does, and can reserve runners. Before: the new sequence fails (LOST).

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -258,7 +258,7 @@
 }
 
 Instant Cell::NextWake(Instant now) const {
-  Instant wake = now + kIdleWake;
+  Instant wake = std::min(now + kIdleWake, schedule_again_);
   if (const auto commit = commits_.NextTime()) wake = std::min(wake, *commit);
   const Duration stall = commits_.Stall(now);
   if (stall > Duration::zero() && stall <= options_.commit_stall) {
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -256,6 +256,9 @@
   std::unordered_set<RunnerKey> unsettled_;  ///< Predecessor's runners not heard from yet.
   RunnerKey last_key_ = kNoRunner;
   bool schedule_wanted_ = false;
+  /// When tasks that found no place are tried again. Reservations, pauses and tickets end without
+  /// an event, and an idle cell hears of nothing.
+  Instant schedule_again_ = Instant::max();
   std::uint32_t questions_ = 0;  ///< To the advisor, not answered yet.
 
   EstimateModel estimates_;
--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -43,6 +43,8 @@
   std::chrono::milliseconds commit_gap{15};
   /// An append outstanding for longer means that the store is in trouble: callers are refused.
   std::chrono::milliseconds commit_stall{400};
+  /// Least time between tries to place waiting tasks while nothing happens.
+  std::chrono::milliseconds schedule_retry{200};
   /// How long the state of a finished job is kept for callers (platform: status_s).
   std::chrono::milliseconds keep_finished{130'000};
   /// Longest time that a stopped task takes to go, a bound of the platform's.
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -49,9 +49,15 @@
     JobEntry* entry = FindJob(id);
     if (entry->job.spec().timed() && entry->job.Materialize(time.wall)) schedule_wanted_ = true;
   }
+  schedule_wanted_ = schedule_wanted_ || time.now >= schedule_again_;
   if (!schedule_wanted_ || !HasAuthority(time.now)) return;
   schedule_wanted_ = false;
-  for (const Candidate& candidate : RankCandidates(time.now)) PlaceJob(candidate.entry, time);
+  schedule_again_ = Instant::max();
+  for (const Candidate& candidate : RankCandidates(time.now)) {
+    PlaceJob(candidate.entry, time);
+    if (candidate.entry->job.ReadyTasks() == 0) continue;
+    schedule_again_ = time.now + options_.schedule_retry;
+  }
 }
 
 void Cell::PlaceJob(JobEntry* entry, CellTime time) {
--- a/tests/cells/cell_fuzz_test.cc
+++ b/tests/cells/cell_fuzz_test.cc
@@ -28,6 +28,7 @@
 WIGEONLANE_WORLD_COMMAND(CellWorld, RestartRunner, if (b < 32) world->RestartRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, CutRunner, world->CutRunner(a, milliseconds(150 * b)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, DrainRunner, if (b < 8) world->DrainRunner(a));
+WIGEONLANE_WORLD_COMMAND(CellWorld, ReserveRunner, if (b < 32) world->ReserveRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, LateOrders, world->LateOrders(a % 4));
 WIGEONLANE_WORLD_COMMAND(CellWorld, LoseAppendAnswers, world->LoseAppendAnswers(a % 3));
 WIGEONLANE_WORLD_COMMAND(CellWorld, StoreDown, world->StoreDown(milliseconds(100 * a)));
@@ -40,8 +41,8 @@
         NoModel(), world,
         rc::state::gen::execOneOfWithArgs<Submit, Submit, Submit, Repeat, Cancel, Step, Step, Wait,
                                           Wait, TakeOver, HandOver, Freeze, CrashRunner,
-                                          RestartRunner, CutRunner, DrainRunner, LateOrders,
-                                          LoseAppendAnswers, StoreDown>());
+                                          RestartRunner, CutRunner, DrainRunner, ReserveRunner,
+                                          LateOrders, LoseAppendAnswers, StoreDown>());
     world.SettleAndCheck();
     if (!world.broken().empty()) RC_FAIL(world.broken());
   }
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -154,18 +154,27 @@
     owner->cell = std::make_unique<Cell>(0, owner->token, CellOptions());
     owner->cell->ExtendAuthority(now_ + CellOptions().authority);
     owner->cell->Restore(records, Time());
-    owner->cell->SetRunners(Listings(), Time());
+    owner->listed.clear();
+    TellListings(owner);
     Pump(index);
   });
 }
 
+/// Discovery tells of changes only.
+void CellWorld::TellListings(Owner* owner) {
+  auto listings = Listings();
+  if (listings == owner->listed) return;
+  owner->listed = listings;
+  owner->cell->SetRunners(listings, Time());
+}
+
 /// Only the newest owner's renewals are confirmed.
 void CellWorld::Renew(std::size_t index) {
   OnOwner(index, [this, index](Owner* owner) {
     const bool newest = index + 1 == owners_.size() && !owner->leaving;
     if (newest && now_ >= store_.down_until && owner->cell != nullptr) {
       owner->cell->ExtendAuthority(now_ + CellOptions().authority);
-      owner->cell->SetRunners(Listings(), Time());
+      TellListings(owner);
       Pump(index);
     }
     After(kRenewal, [this, index] { Renew(index); });
@@ -475,6 +484,16 @@
   runners_[which % runners_.size()].listing.draining = true;
 }
 
+void CellWorld::ReserveRunner(std::size_t which) {
+  const std::size_t index = owners_.size() - 1;
+  const std::string id = runners_[which % runners_.size()].listing.id;
+  OnOwner(index, [=, this](Owner* owner) {
+    if (owner->cell == nullptr || owner->cell->deposed()) return;
+    owner->cell->ReserveRunner(id, Time());
+    Pump(index);
+  });
+}
+
 void CellWorld::LateOrders(std::size_t count) { late_orders_ = count; }
 void CellWorld::LoseAppendAnswers(std::size_t count) { lost_appends_ = count; }
 void CellWorld::StoreDown(milliseconds duration) { store_.down_until = now_ + duration; }
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -49,6 +49,8 @@
   void RestartRunner(std::size_t which);
   void CutRunner(std::size_t which, std::chrono::milliseconds duration);
   void DrainRunner(std::size_t which);
+  /// Nothing new starts on the runner for a while.
+  void ReserveRunner(std::size_t which);
   /// Of the next orders, some get no answer and are carried out seconds later.
   void LateOrders(std::size_t count);
   /// Of the next appends, some are stored but not answered.
@@ -66,7 +68,8 @@
     std::unique_ptr<Cell> cell;
     TenureToken token = 0;
     bool alive = true;
-    bool leaving = false;  ///< Its authority was given up.
+    bool leaving = false;               ///< Its authority was given up.
+    std::vector<RunnerListing> listed;  ///< As it was told last.
     Instant frozen_until{};
     Instant next_wake{};  ///< Of the pending wake-up; in the past when there is none.
     std::map<CallNumber, JobId> submits;
@@ -103,6 +106,7 @@
   void FinishHandOver(std::size_t owner, Instant until);
   void Restore(std::size_t owner);
   void Renew(std::size_t owner);
+  void TellListings(Owner* owner);
   void Pump(std::size_t index);
   void WakeLater(std::size_t index);
   void TakeAnswer(Owner* owner, const CallerAnswerOrder& order);
--- a/tests/cells/cell_world_test.cc
+++ b/tests/cells/cell_world_test.cc
@@ -212,5 +212,14 @@
   CHECK_FALSE(world_.cell()->duty_free_at());
 }
 
+TEST_CASE_METHOD(CellWorldTest, "Job_AllRunnersReservedAndNothingRuns_StartsOnceTheyAreFree") {
+  world_.Advance(milliseconds(700));
+  for (std::size_t i = 0; i < 4; ++i) world_.ReserveRunner(i);
+  world_.Submit(0, 20);
+  world_.SettleAndCheck();
+  INFO(world_.broken());
+  CHECK(world_.broken().empty());
+}
+
 }  // namespace
 }  // namespace wigeonlane
