--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -143,10 +143,10 @@
   void SetTimer(asio::steady_timer* timer, std::chrono::milliseconds pause,
                 std::function<void()> action) {
     timer->expires_after(pause);
-    timer->async_wait(
-        [alive = std::weak_ptr<int>(alive_), action = std::move(action)](asio::error_code error) {
-          if (!error && !alive.expired()) action();
-        });
+    const std::weak_ptr<int> held = alive_;
+    timer->async_wait([alive = held, action = std::move(action)](asio::error_code error) {
+      if (!error && !alive.expired()) action();
+    });
   }
 
   /// No append of a predecessor can be carried out after this.
