cell host: timers use the guard of the other callbacks

Lint took the weak reference for a cast, named or not; the guard that all other callbacks of a host use does the same. cell_host_test passes.

--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -143,10 +143,10 @@
   void SetTimer(asio::steady_timer* timer, std::chrono::milliseconds pause,
                 std::function<void()> action) {
     timer->expires_after(pause);
-    const std::weak_ptr<int> held = alive_;
-    timer->async_wait([alive = held, action = std::move(action)](asio::error_code error) {
-      if (!error && !alive.expired()) action();
-    });
+    timer->async_wait(
+        Guarded<asio::error_code>([action = std::move(action)](asio::error_code error) {
+          if (!error) action();
+        }));
   }
 
   /// No append of a predecessor can be carried out after this.
