cells: a queue without an advisor keeps no admissions

Cause, found in reading the change: AskAdvisor made an entry for each step that found no place before it looked whether the queue has an advisor at all. Also removes an accessor that nothing used.

--- a/cells/cell_admission.cc
+++ b/cells/cell_admission.cc
@@ -27,8 +27,9 @@
 /// Asks about runners without a ticket, those with room first.
 void Cell::AskAdvisor(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, Instant now) {
   const std::optional<QueueAdvice>& advice = entry->job.policy().advice;
+  if (!advice || questions_ >= kMostQuestions) return;
   StepAdmission& admission = entry->admissions[{occurrence, step}];
-  if (!advice || !admission.MayAsk(now) || questions_ >= kMostQuestions) return;
+  if (!admission.MayAsk(now)) return;
   const StepSpec& spec = entry->job.spec().steps[step];
   std::vector<std::pair<bool, RunnerKey>> candidates;  // Full ones last.
   for (const auto& [key, runner] : runners_) {
--- a/scheduling/step_admission.h
+++ b/scheduling/step_admission.h
@@ -43,7 +43,6 @@
   /// The runner did not accept the ticket.
   void DropTicket(RunnerKey runner) { tickets_.erase(runner); }
 
-  bool asking() const { return asking_; }
   bool MayAsk(Instant now) const { return !asking_ && now >= ask_after_; }
   void Asked() { asking_ = true; }
   void Answered() { asking_ = false; }
