cell table: clearing takes the hosts out before it destroys them

Cause, found in reading: a host answers its open calls as it is destroyed, and what that leads to may look a cell up while the map is half destroyed. No crash of this kind was seen. The new test fails with a plain clear() and passes now.

--- a/cells/cell_table.h
+++ b/cells/cell_table.h
@@ -81,7 +81,8 @@
     }
   }
 
-  void Clear() { hosts_.clear(); }
+  /// Hosts answer their open calls as they are destroyed, which may come back here.
+  void Clear() { const auto ending = std::exchange(hosts_, {}); }
 
   Host* Find(CellNumber cell) const {
     const auto found = hosts_.find(cell);
--- a/tests/cells/cell_table_test.cc
+++ b/tests/cells/cell_table_test.cc
@@ -19,6 +19,10 @@
  public:
   explicit ScriptedHost(TenureToken token) : token_(token) {}
 
+  ~ScriptedHost() {
+    if (destroyed) destroyed();
+  }
+
   void Start(std::function<void()> done) { ended = std::move(done); }
   void Release(milliseconds duty, std::function<void()> done) {
     duty_left = duty;
@@ -29,6 +33,7 @@
   std::function<void()> ended;
   std::function<void()> released;
   milliseconds duty_left{-1};
+  std::function<void()> destroyed;
 
  private:
   TenureToken token_;
@@ -106,5 +111,18 @@
   CHECK(table_.Find(kOtherCell)->token() == 19);
 }
 
+TEST_CASE_METHOD(CellTableTest, "Clear_HostAsksForACellAsItIsDestroyed_FindsNone") {
+  table_.Gain(kDutyCell, 8);
+  table_.Gain(kOtherCell, 11);
+  std::size_t found = 0;
+  for (const CellNumber cell : {kDutyCell, kOtherCell}) {
+    table_.Find(cell)->destroyed = [&] {
+      for (const CellNumber other : {kDutyCell, kOtherCell}) found += table_.Find(other) != nullptr;
+    };
+  }
+  table_.Clear();
+  CHECK(found == 0);
+}
+
 }  // namespace
 }  // namespace wigeonlane
