--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -206,13 +206,10 @@
     entry->accepted = true;
     ++counters_.accepted;
     NoteArrival(entry->job, time.now);
-    LogDecision("accept",
-                {{"job", std::string(effect.job.text())},
-                 {"cell", Concat(number_)},
-                 {"queue", entry->job.policy().name},
-                 {"commit_ms", Concat(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                          time.now - entry->accepted_at)
-                                          .count())}});
+    LogDecision("accept", {{"job", std::string(effect.job.text())},
+                           {"cell", Concat(number_)},
+                           {"queue", entry->job.policy().name},
+                           {"commit_ms", Concat(MillisOf(time.now - entry->accepted_at))}});
   }
   for (const CallNumber call : std::exchange(entry->accept_calls, {})) {
     Answer(call, {CallVerdict::kAccepted});
@@ -226,9 +223,7 @@
   LogDecision("job_final", {{"job", std::string(effect.job.text())},
                             {"cell", Concat(number_)},
                             {"state", std::string(JobStateName(effect.state))},
-                            {"age_ms", Concat(std::chrono::duration_cast<std::chrono::milliseconds>(
-                                                  time.now - entry->accepted_at)
-                                                  .count())}});
+                            {"age_ms", Concat(MillisOf(time.now - entry->accepted_at))}});
   for (const CallNumber call : std::exchange(entry->cancel_calls, {})) {
     Answer(call, {CallVerdict::kCancelled, effect.state});
   }
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -1,4 +1,4 @@
-/// Runners of a cell: discovery, looks, starts, stops, reservations and losses.
+/// Runners of a cell: discovery, lives, looks and losses.
 #include <algorithm>
 #include <utility>
 
@@ -9,25 +9,6 @@
 #include "core/text.h"
 
 namespace wigeonlane {
-namespace {
-
-/// A runner that could not be reached gets no start for this long.
-constexpr std::chrono::milliseconds kUnreachablePause{300};
-/// A runner that refused for want of room gets no start before its next report is due.
-constexpr std::chrono::milliseconds kNoRoomPause{150};
-/// A runner that refused because it is not well.
-constexpr std::chrono::milliseconds kUnhealthyPause{500};
-/// An order that the runner cannot read will not be read at once afterwards either.
-constexpr std::chrono::milliseconds kInvalidPause{1'000};
-
-/// A reservation that is not renewed lapses: whoever asked for it is gone.
-constexpr std::chrono::milliseconds kReservation{2'000};
-
-std::int64_t Millis(Duration duration) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-}  // namespace
 
 Runner* Cell::FindRunner(RunnerKey key) {
   const auto found = runners_.find(key);
@@ -135,7 +116,7 @@
                {"runs", Concat(runner->runs.size())},
                {"lease_over_ms", runner->lease_end == Instant{}
                                      ? std::string("none")
-                                     : Concat(Millis(time.now - runner->lease_end))}});
+                                     : Concat(MillisOf(time.now - runner->lease_end))}});
   while (!runner->runs.empty()) {
     const auto [task, run] = *runner->runs.begin();
     if (!run.listed) NoteUnanswered(runner->listing.id, task, run.run, time.now);
@@ -243,199 +224,4 @@
   TakeReport(runner, *report, time);
 }
 
-LiveRun* Cell::FindRun(Runner* runner, const TaskId& task, RunNumber run) {
-  const auto found = runner->runs.find(task);
-  return found == runner->runs.end() || found->second.run != run ? nullptr : &found->second;
-}
-
-void Cell::AddRun(Runner* runner, const TaskId& task, LiveRun run) {
-  RemoveRun(runner, task);
-  runner->used += run.load;
-  if (run.lasting) ++runner->lasting_runs;
-  runner->runs.emplace(task, run);
-}
-
-void Cell::RemoveRun(Runner* runner, const TaskId& task) {
-  const auto found = runner->runs.find(task);
-  if (found == runner->runs.end()) return;
-  runner->used -= found->second.load;
-  if (found->second.lasting) --runner->lasting_runs;
-  runner->runs.erase(found);
-}
-
-/// The run is over for sure: its room is free and its task may be placed again.
-void Cell::FreeTask(Runner* runner, const TaskId& id, std::string_view why, CellTime time) {
-  RemoveRun(runner, id);
-  JobEntry* entry = FindJob(id.job);
-  TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(id);
-  if (task == nullptr || task->phase != TaskPhase::kPlaced || task->runner != runner->key) return;
-  if (!IsFinal(entry->job.state())) {
-    LogDecision("free", {{"job", std::string(id.job.text())},
-                         {"task", id.ToString()},
-                         {"runner", runner->listing.id},
-                         {"why", std::string(why)},
-                         {"report_age_ms", Concat(Millis(time.now - runner->clock_at))}});
-  }
-  entry->job.Unplace(id);
-  schedule_wanted_ = true;
-}
-
-void Cell::RequestStop(Runner* runner, const TaskId& task, Instant now) {
-  const auto found = runner->runs.find(task);
-  if (found == runner->runs.end()) return;
-  LiveRun& run = found->second;
-  run.phase = RunPhase::kStopping;
-  if (run.stop_under_way) return;
-  run.stop_under_way = true;
-  run.stop_confirmed = false;
-  run.stop_sent = now;
-  outbox_.stops.push_back({runner->key, task, run.run});
-}
-
-void Cell::StopJob(JobEntry* entry, Instant now) {
-  const auto& occurrences = entry->job.occurrences();
-  for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
-    const auto& steps = occurrences[occurrence].steps;
-    for (std::uint32_t step = 0; step < steps.size(); ++step) {
-      for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
-        const TaskState& task = steps[step].tasks[index];
-        if (task.phase != TaskPhase::kPlaced) continue;
-        Runner* runner = FindRunner(task.runner);
-        if (runner == nullptr) continue;
-        RequestStop(runner, {entry->job.id(), occurrence, step, index}, now);
-      }
-    }
-  }
-}
-
-CallAnswer Cell::ReserveRunner(const std::string& runner_id, CellTime time) {
-  const auto key = key_by_id_.find(runner_id);
-  Runner* runner = key == key_by_id_.end() ? nullptr : FindRunner(key->second);
-  if (runner == nullptr || !runner->claimed || !settled()) return {CallVerdict::kNotReady};
-  if (time.now >= runner->reserved_until) {
-    LogDecision(
-        "reserve_runner",
-        {{"runner", runner_id}, {"cell", Concat(number_)}, {"runs", Concat(runner->runs.size())}});
-  }
-  runner->reserved_until = time.now + kReservation;
-  for (const auto& [task, run] : runner->runs) {
-    if (MayEnd(*runner, task, Ending::kWholeRunner, time.now)) continue;
-    Evacuate(runner, time.now);
-    return {CallVerdict::kNotReady};
-  }
-  runner->released_until = time.now + kReservation;
-  return {CallVerdict::kReady};
-}
-
-void Cell::RunnerGone(const std::string& runner_id, CellTime time) {
-  const auto key = key_by_id_.find(runner_id);
-  if (key != key_by_id_.end()) LoseRunner(key->second, "its machine was taken down", time);
-}
-
-/// Stops one lasting task of a runner that holds more tasks of a step than may be missing at once,
-/// so that it starts elsewhere.
-void Cell::Evacuate(Runner* runner, Instant now) {
-  for (const auto& [task, run] : runner->runs) {
-    if (!run.lasting || run.phase != RunPhase::kRunning) continue;
-    if (MayEnd(*runner, task, Ending::kWholeRunner, now)) continue;
-    if (!MayEnd(*runner, task, Ending::kOneTask, now)) continue;
-    LogDecision("evacuate", {{"job", std::string(task.job.text())},
-                             {"task", task.ToString()},
-                             {"runner", runner->listing.id}});
-    return RequestStop(runner, task, now);
-  }
-}
-
-/// Whether ending a run is within what its step may miss. Only tasks that last are ended so; the
-/// others are waited for.
-bool Cell::MayEnd(const Runner& runner, const TaskId& id, Ending ending, Instant now) {
-  JobEntry* entry = FindJob(id.job);
-  if (entry == nullptr || IsFinal(entry->job.state())) return true;
-  const StepSpec& spec = entry->job.spec().steps[id.step];
-  if (!spec.long_running) return false;
-  const auto& tasks = entry->job.occurrences()[id.occurrence].steps[id.step].tasks;
-  std::uint32_t away = 0;
-  for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-    if (index == id.index) continue;
-    Runner* host = FindRunner(tasks[index].runner);
-    const TaskId other{id.job, id.occurrence, id.step, index};
-    const LiveRun* run = host == nullptr ? nullptr : FindRun(host, other, tasks[index].last_run);
-    const bool at_work = run != nullptr && run->phase == RunPhase::kRunning &&
-                         run->percent == PaceControl::kFull && host->looks_failed == 0 &&
-                         now - host->clock_at < options_.look_wait * 2;
-    // A runner that was released before may be taken down at any time.
-    const bool with_it =
-        ending == Ending::kWholeRunner && host != nullptr && host->key == runner.key;
-    const bool going = with_it || (host != nullptr && now < host->released_until);
-    if (!at_work || going) ++away;
-  }
-  return away < std::max(spec.may_be_missing, 1U);
-}
-
-void Cell::StartAnswered(const StartOrder& order, OrderOutcome outcome, CellTime time) {
-  if (outcome.answer == OrderAnswer::kFenced) return FencedBy(order.runner);
-  Runner* runner = FindRunner(order.runner);
-  if (runner == nullptr) return;
-  LiveRun* run = FindRun(runner, order.task, order.run);
-  if (outcome.answer != OrderAnswer::kDone) {
-    LogDecision("start_answer", {{"job", std::string(order.task.job.text())},
-                                 {"task", order.task.ToString()},
-                                 {"run", Concat(order.run)},
-                                 {"runner", runner->listing.id},
-                                 {"answer", std::string(OrderAnswerName(outcome.answer))}});
-    ++counters_.starts_refused;
-  }
-  if (outcome.answer == OrderAnswer::kWrongLife) {
-    return LoseRunner(order.runner, "another life at its address", time);
-  }
-  if (run == nullptr) return;
-  switch (outcome.answer) {
-    case OrderAnswer::kDone:
-      if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kRunning;
-      if (outcome.clock) run->known_since = std::max(run->known_since, *outcome.clock);
-      return;
-    case OrderAnswer::kUnanswered:
-      ++counters_.starts_unanswered;
-      NoteUnanswered(runner->listing.id, order.task, order.run, time.now);
-      runner->blocked_until = time.now + kUnreachablePause;
-      RequestStop(runner, order.task, time.now);
-      return;
-    case OrderAnswer::kNotSent:
-      runner->blocked_until = time.now + kUnreachablePause;
-      break;
-    case OrderAnswer::kNoRoom:
-      runner->blocked_until = time.now + kNoRoomPause;
-      break;
-    case OrderAnswer::kUnhealthy:
-      runner->blocked_until = time.now + kUnhealthyPause;
-      runner->health.NoteFailure(order.task.job, time.now);
-      break;
-    case OrderAnswer::kNoTicket:
-      if (JobEntry* entry = FindJob(order.task.job)) {
-        entry->admissions[{order.task.occurrence, order.task.step}].DropTicket(order.runner);
-      }
-      break;
-    case OrderAnswer::kInvalid:
-      runner->blocked_until = time.now + kInvalidPause;
-      break;
-    default:
-      break;
-  }
-  FreeTask(runner, order.task, OrderAnswerName(outcome.answer), time);
-}
-
-void Cell::StopAnswered(const StopOrder& order, OrderOutcome outcome, CellTime time) {
-  if (outcome.answer == OrderAnswer::kFenced) return FencedBy(order.runner);
-  if (outcome.answer == OrderAnswer::kWrongLife) {
-    return LoseRunner(order.runner, "another life at its address", time);
-  }
-  Runner* runner = FindRunner(order.runner);
-  LiveRun* run = runner == nullptr ? nullptr : FindRun(runner, order.task, order.run);
-  if (run == nullptr) return;
-  run->stop_under_way = false;
-  if (outcome.answer != OrderAnswer::kDone) return;
-  run->stop_confirmed = true;
-  if (outcome.clock) run->known_since = std::max(run->known_since, *outcome.clock);
-}
-
 }  // namespace wigeonlane
--- /dev/null
+++ b/cells/cell_runs.cc
@@ -0,0 +1,153 @@
+/// Runs on a cell's runners: what is held of them, stops, and answers to orders.
+#include <utility>
+
+#include "cells/cell.h"
+#include "core/logging.h"
+#include "core/text.h"
+
+namespace wigeonlane {
+namespace {
+
+/// A runner that could not be reached gets no start for this long.
+constexpr std::chrono::milliseconds kUnreachablePause{300};
+/// A runner that refused for want of room gets no start before its next report is due.
+constexpr std::chrono::milliseconds kNoRoomPause{150};
+/// A runner that refused because it is not well.
+constexpr std::chrono::milliseconds kUnhealthyPause{500};
+/// An order that the runner cannot read will not be read at once afterwards either.
+constexpr std::chrono::milliseconds kInvalidPause{1'000};
+
+}  // namespace
+
+LiveRun* Cell::FindRun(Runner* runner, const TaskId& task, RunNumber run) {
+  const auto found = runner->runs.find(task);
+  return found == runner->runs.end() || found->second.run != run ? nullptr : &found->second;
+}
+
+void Cell::AddRun(Runner* runner, const TaskId& task, LiveRun run) {
+  RemoveRun(runner, task);
+  runner->used += run.load;
+  if (run.lasting) ++runner->lasting_runs;
+  runner->runs.emplace(task, run);
+}
+
+void Cell::RemoveRun(Runner* runner, const TaskId& task) {
+  const auto found = runner->runs.find(task);
+  if (found == runner->runs.end()) return;
+  runner->used -= found->second.load;
+  if (found->second.lasting) --runner->lasting_runs;
+  runner->runs.erase(found);
+}
+
+/// The run is over for sure: its room is free and its task may be placed again.
+void Cell::FreeTask(Runner* runner, const TaskId& id, std::string_view why, CellTime time) {
+  RemoveRun(runner, id);
+  JobEntry* entry = FindJob(id.job);
+  TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(id);
+  if (task == nullptr || task->phase != TaskPhase::kPlaced || task->runner != runner->key) return;
+  if (!IsFinal(entry->job.state())) {
+    LogDecision("free", {{"job", std::string(id.job.text())},
+                         {"task", id.ToString()},
+                         {"runner", runner->listing.id},
+                         {"why", std::string(why)},
+                         {"report_age_ms", Concat(MillisOf(time.now - runner->clock_at))}});
+  }
+  entry->job.Unplace(id);
+  schedule_wanted_ = true;
+}
+
+void Cell::RequestStop(Runner* runner, const TaskId& task, Instant now) {
+  const auto found = runner->runs.find(task);
+  if (found == runner->runs.end()) return;
+  LiveRun& run = found->second;
+  run.phase = RunPhase::kStopping;
+  if (run.stop_under_way) return;
+  run.stop_under_way = true;
+  run.stop_confirmed = false;
+  run.stop_sent = now;
+  outbox_.stops.push_back({runner->key, task, run.run});
+}
+
+void Cell::StopJob(JobEntry* entry, Instant now) {
+  const auto& occurrences = entry->job.occurrences();
+  for (std::uint32_t occurrence = 0; occurrence < occurrences.size(); ++occurrence) {
+    const auto& steps = occurrences[occurrence].steps;
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+      for (std::uint32_t index = 0; index < steps[step].tasks.size(); ++index) {
+        const TaskState& task = steps[step].tasks[index];
+        if (task.phase != TaskPhase::kPlaced) continue;
+        Runner* runner = FindRunner(task.runner);
+        if (runner == nullptr) continue;
+        RequestStop(runner, {entry->job.id(), occurrence, step, index}, now);
+      }
+    }
+  }
+}
+
+void Cell::StartAnswered(const StartOrder& order, OrderOutcome outcome, CellTime time) {
+  if (outcome.answer == OrderAnswer::kFenced) return FencedBy(order.runner);
+  Runner* runner = FindRunner(order.runner);
+  if (runner == nullptr) return;
+  LiveRun* run = FindRun(runner, order.task, order.run);
+  if (outcome.answer != OrderAnswer::kDone) {
+    LogDecision("start_answer", {{"job", std::string(order.task.job.text())},
+                                 {"task", order.task.ToString()},
+                                 {"run", Concat(order.run)},
+                                 {"runner", runner->listing.id},
+                                 {"answer", std::string(OrderAnswerName(outcome.answer))}});
+    ++counters_.starts_refused;
+  }
+  if (outcome.answer == OrderAnswer::kWrongLife) {
+    return LoseRunner(order.runner, "another life at its address", time);
+  }
+  if (run == nullptr) return;
+  switch (outcome.answer) {
+    case OrderAnswer::kDone:
+      if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kRunning;
+      if (outcome.clock) run->known_since = std::max(run->known_since, *outcome.clock);
+      return;
+    case OrderAnswer::kUnanswered:
+      ++counters_.starts_unanswered;
+      NoteUnanswered(runner->listing.id, order.task, order.run, time.now);
+      runner->blocked_until = time.now + kUnreachablePause;
+      RequestStop(runner, order.task, time.now);
+      return;
+    case OrderAnswer::kNotSent:
+      runner->blocked_until = time.now + kUnreachablePause;
+      break;
+    case OrderAnswer::kNoRoom:
+      runner->blocked_until = time.now + kNoRoomPause;
+      break;
+    case OrderAnswer::kUnhealthy:
+      runner->blocked_until = time.now + kUnhealthyPause;
+      runner->health.NoteFailure(order.task.job, time.now);
+      break;
+    case OrderAnswer::kNoTicket:
+      if (JobEntry* entry = FindJob(order.task.job)) {
+        entry->admissions[{order.task.occurrence, order.task.step}].DropTicket(order.runner);
+      }
+      break;
+    case OrderAnswer::kInvalid:
+      runner->blocked_until = time.now + kInvalidPause;
+      break;
+    default:
+      break;
+  }
+  FreeTask(runner, order.task, OrderAnswerName(outcome.answer), time);
+}
+
+void Cell::StopAnswered(const StopOrder& order, OrderOutcome outcome, CellTime time) {
+  if (outcome.answer == OrderAnswer::kFenced) return FencedBy(order.runner);
+  if (outcome.answer == OrderAnswer::kWrongLife) {
+    return LoseRunner(order.runner, "another life at its address", time);
+  }
+  Runner* runner = FindRunner(order.runner);
+  LiveRun* run = runner == nullptr ? nullptr : FindRun(runner, order.task, order.run);
+  if (run == nullptr) return;
+  run->stop_under_way = false;
+  if (outcome.answer != OrderAnswer::kDone) return;
+  run->stop_confirmed = true;
+  if (outcome.clock) run->known_since = std::max(run->known_since, *outcome.clock);
+}
+
+}  // namespace wigeonlane
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -193,16 +193,12 @@
   runner->GrantLease(order.deadline, options_);
   runner->next_look = std::min(runner->next_look, time.now + options_.look_gap);
   ++counters_.starts;
-  LogDecision(
-      "start",
-      {{"job", std::string(id.job.text())},
-       {"task", id.ToString()},
-       {"run", Concat(run)},
-       {"runner", runner->listing.id},
-       {"free_cpu", Concat(runner->Free().cpu_milli)},
-       {"report_age_ms",
-        Concat(std::chrono::duration_cast<std::chrono::milliseconds>(time.now - runner->clock_at)
-                   .count())}});
+  LogDecision("start", {{"job", std::string(id.job.text())},
+                        {"task", id.ToString()},
+                        {"run", Concat(run)},
+                        {"runner", runner->listing.id},
+                        {"free_cpu", Concat(runner->Free().cpu_milli)},
+                        {"report_age_ms", Concat(MillisOf(time.now - runner->clock_at))}});
   outbox_.starts.push_back(std::move(order));
 }
 
--- a/core/clock.h
+++ b/core/clock.h
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <chrono>
 #include <concepts>
+#include <cstdint>
 
 namespace wigeonlane {
 
@@ -14,6 +15,11 @@
 /// Elapsed time on the monotonic clock.
 using Duration = std::chrono::steady_clock::duration;
 
+/// Whole milliseconds, for log lines.
+inline std::int64_t MillisOf(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /// A clock that can be read. Tests pass `ManualClock`, programs pass `SteadyClock`.
 template <typename C>
 concept RuntimeClock = requires(const C& clock) {
