entry: an admitted call whose slot was withdrawn waits again

A thawed instance admits calls up to the slots it had; the catch-up after the pause, run by the first of them, takes a leaving runner's slots away; calls that were admitted but not sent yet then found none. Ruled out: ejected runners and retries (the refused calls, 4, 12 and 14 of 40, have no attempt in the log), the queue (200 places, 40 calls). Change: such a call goes back to the queue, ahead of its equals, as long as more run than there are slots. Tests: two of Admission, which cannot be written against the old code.

--- a/entry/dispatcher.cc
+++ b/entry/dispatcher.cc
@@ -139,17 +139,18 @@
 
 LaneChange Dispatcher::Run(const CallPtr& call) {
   CatchUpAfterPause();
-  CallerAnswer answer = SendWithRetries(*call);
+  FirstPick first = call->lane->PickFirst(call);
+  if (first.waits_again) return {};
+  CallerAnswer answer = SendWithRetries(*call, std::move(first.runner));
   LaneChange change = call->lane->FinishCall(*call);
   Answer(call, std::move(answer));
   return change;
 }
 
-CallerAnswer Dispatcher::SendWithRetries(const Call& call) {
+CallerAnswer Dispatcher::SendWithRetries(const Call& call, std::optional<RunnerPick> pick) {
   ExecutionTrace trace;
   std::vector<std::string> tried;
   while (true) {
-    const std::optional<RunnerPick> pick = call.lane->Pick(tried);
     if (!pick.has_value()) {
       return AnswerFor(Verdict::Failed(trace, absl::UnavailableError("no runner has a free slot"),
                                        kRunnerRetryAfter),
@@ -168,7 +169,10 @@
     call.lane->FinishAttempt(pick->instance, !result.runner_at_fault);
     trace.Raise(result.execution);
     tried.push_back(pick->instance);
-    if (MayRetry(call, result, trace, tried.size())) continue;
+    if (MayRetry(call, result, trace, tried.size())) {
+      pick = call.lane->Pick(tried);
+      continue;
+    }
     if (!result.answer.has_value()) {
       return AnswerFor(Verdict::Failed(trace, result.status, kRunnerRetryAfter),
                        call.request.request_id);
--- a/entry/dispatcher.h
+++ b/entry/dispatcher.h
@@ -88,7 +88,7 @@
   void RunHere(const LaneChange& change);
   LaneChange Run(const CallPtr& call);
   void CatchUpAfterPause();
-  CallerAnswer SendWithRetries(const Call& call);
+  CallerAnswer SendWithRetries(const Call& call, std::optional<RunnerPick> pick);
   bool MayRetry(const Call& call, const AttemptResult& result, const ExecutionTrace& trace,
                 std::size_t attempts) const;
   void Refuse(const RefusedCall& refused);
--- a/entry/service_lane.cc
+++ b/entry/service_lane.cc
@@ -66,6 +66,15 @@
   return runners_.Pick(exclude);
 }
 
+FirstPick ServiceLane::PickFirst(const CallPtr& call) {
+  const std::lock_guard lock(mutex_);
+  FirstPick first{runners_.Pick({}), false};
+  if (first.runner.has_value() || !admission_.WaitAgain(RequestOf(*call))) return first;
+  waiting_[call->id] = call;
+  first.waits_again = true;
+  return first;
+}
+
 void ServiceLane::FinishAttempt(const std::string& instance, bool success) {
   const std::lock_guard lock(mutex_);
   runners_.Finish(instance, success);
--- a/entry/service_lane.h
+++ b/entry/service_lane.h
@@ -51,6 +51,12 @@
   std::vector<RefusedCall> refused;
 };
 
+/// Where an admitted call goes first.
+struct FirstPick {
+  std::optional<RunnerPick> runner;  ///< Nothing when no runner has a free slot.
+  bool waits_again = false;          ///< The call is in the queue again.
+};
+
 /// Safe for several threads. Work for one service never takes another service's lock or places.
 class ServiceLane {
  public:
@@ -69,6 +75,9 @@
   std::optional<RunnerPick> Pick(const std::vector<std::string>& exclude);
 
   /// Gives the runner's slot back.
+  /// Picks the first runner of an admitted call. If slots were withdrawn since it was admitted and
+  /// none is free for it, the call waits again and runs as others finish.
+  FirstPick PickFirst(const CallPtr& call);
   void FinishAttempt(const std::string& instance, bool success);
 
   /// Gives the lane's slot back.
--- a/policy/admission.h
+++ b/policy/admission.h
@@ -74,6 +74,10 @@
   /// that run now.
   std::vector<AdmissionRequest> Finish(Duration service_time);
 
+  /// A request that runs but was not sent anywhere waits again, ahead of its equals, if more run
+  /// than there are slots since the limit fell. Returns whether it does.
+  bool WaitAgain(const AdmissionRequest& request);
+
   /// Changes the limits. Returns waiting requests that run now.
   std::vector<AdmissionRequest> SetLimits(const AdmissionLimits& limits);
 
@@ -165,6 +169,14 @@
   return FillSlots();
 }
 
+template <RuntimeClock ClockT>
+bool Admission<ClockT>::WaitAgain(const AdmissionRequest& request) {
+  if (running_ <= limits_.slots) return false;
+  --running_;
+  queues_[static_cast<std::size_t>(request.urgency)].push_front(request);
+  return true;
+}
+
 template <RuntimeClock ClockT>
 std::vector<AdmissionRequest> Admission<ClockT>::SetLimits(const AdmissionLimits& limits) {
   limits_ = limits;
--- a/tests/policy/admission_test.cc
+++ b/tests/policy/admission_test.cc
@@ -46,6 +46,22 @@
   CHECK(runnable[0].id == 4);
 }
 
+TEST_CASE_METHOD(AdmissionTest, "WaitAgain_MoreRunThanTheLoweredLimit_GoesAheadOfItsEquals") {
+  Offer(1), Offer(2), Offer(3);
+  admission_.SetLimits({1, 4, Urgency::kNormal});
+  REQUIRE(admission_.WaitAgain({2, Urgency::kNormal, clock_.Now() + milliseconds(1'000)}));
+  CHECK(admission_.running() == 1);
+  const auto runnable = admission_.Finish(milliseconds(1));
+  REQUIRE(runnable.size() == 1);
+  CHECK(runnable[0].id == 2);
+}
+
+TEST_CASE_METHOD(AdmissionTest, "WaitAgain_WithinTheLimit_IsDeclined") {
+  Offer(1), Offer(2);
+  CHECK_FALSE(admission_.WaitAgain({2, Urgency::kNormal, clock_.Now() + milliseconds(1'000)}));
+  CHECK(admission_.running() == 2);
+}
+
 TEST_CASE_METHOD(AdmissionTest, "Offer_ThatCannotMakeItsDeadline_IsRefusedAtOnce") {
   Serve(milliseconds(100));
   Offer(1), Offer(2);
