net: client and server feed their parsers by one function

The loop stood twice, with the same handling of missing bytes. No change of behaviour: net_test and the bad input of wire_test pass as before.

--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "core/text.h"
+#include "net/http_feed.h"
 
 namespace wigeonlane {
 namespace {
@@ -150,15 +151,8 @@
 
   void Parse() {
     if (exchange_ == nullptr) return Break("unexpected bytes");
-    std::size_t used = 0;
-    while (used < buffer_.size() && !parser_->is_done()) {
-      boost::system::error_code error;
-      used += parser_->put(boost::asio::const_buffer(buffer_.data() + used, buffer_.size() - used),
-                           error);
-      if (error == http::error::need_more) break;
-      if (error) return Break("malformed answer: " + error.message());
-    }
-    buffer_.erase(0, used);
+    const auto error = FeedParser(&*parser_, &buffer_);
+    if (error) return Break("malformed answer: " + error.message());
     if (!parser_->is_done()) return Read();
     Complete();
   }
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -14,6 +14,7 @@
 
 #include "core/logging.h"
 #include "core/text.h"
+#include "net/http_feed.h"
 
 namespace wigeonlane {
 namespace {
@@ -129,15 +130,9 @@
   }
 
   void Parse() {
-    std::size_t used = 0;
-    while (used < buffer_.size() && !parser_->is_done()) {
-      boost::system::error_code error;
-      used += parser_->put(boost::asio::const_buffer(buffer_.data() + used, buffer_.size() - used),
-                           error);
-      if (error == http::error::need_more) break;
-      if (error) return Reject(StatusOfParseError(error));
+    if (const auto error = FeedParser(&*parser_, &buffer_)) {
+      return Reject(StatusOfParseError(error));
     }
-    buffer_.erase(0, used);
     if (parser_->is_done()) return Serve();
     SendContinue();
     Read();
--- /dev/null
+++ b/net/http_feed.h
@@ -0,0 +1,28 @@
+/// Feeding what was read from a connection to an HTTP parser.
+#ifndef WIGEONLANE_NET_HTTP_FEED_H_
+#define WIGEONLANE_NET_HTTP_FEED_H_
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/system/error_code.hpp>
+#include <string>
+
+namespace wigeonlane {
+
+/// Feeds `buffer` to `parser` until it is done or needs more bytes, and removes what it took. No
+/// error when bytes are missing.
+template <typename Parser>
+boost::system::error_code FeedParser(Parser* parser, std::string* buffer) {
+  std::size_t used = 0;
+  boost::system::error_code error;
+  while (used < buffer->size() && !parser->is_done() && !error) {
+    used +=
+        parser->put(boost::asio::const_buffer(buffer->data() + used, buffer->size() - used), error);
+  }
+  buffer->erase(0, used);
+  return error == boost::beast::http::error::need_more ? boost::system::error_code() : error;
+}
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_NET_HTTP_FEED_H_
