--- a/cells/cell.h
+++ b/cells/cell.h
@@ -63,8 +63,8 @@
 
   /// From now on nothing is started or extended; what was decided is still stored.
   /// A record tells the successor how long leases may last, so that it need not assume the longest.
-  /// `duty_left` is how long a successor must leave the duty that goes with the cell alone.
-  void PrepareHandover(std::chrono::milliseconds duty_left, CellTime time);
+  /// `role_pause` is how long a successor must leave the role that goes with the cell alone.
+  void PrepareHandover(std::chrono::milliseconds role_pause, CellTime time);
 
   /// Replaces what discovery says of the runners of this cell's services.
   void SetRunners(const std::vector<RunnerListing>& listings, CellTime time);
@@ -116,10 +116,10 @@
   /// Whether nothing of a predecessor can run that we do not know of.
   bool settled() const { return unsettled_.empty(); }
 
-  /// When a predecessor that handed the cell over in good order leaves its duty to us; nothing when
+  /// When a predecessor that handed the cell over in good order leaves its role to us; nothing when
   /// none did, and before its record is removed.
-  std::optional<Instant> duty_free_at() const {
-    return handover_stands_ ? std::nullopt : duty_free_at_;
+  std::optional<Instant> role_free_at() const {
+    return handover_stands_ ? std::nullopt : role_free_at_;
   }
 
   CellNumber number() const { return number_; }
@@ -239,7 +239,7 @@
   const CellOptions options_;
   Instant authority_until_{};
   bool handover_stands_ = false;  ///< A predecessor's record is still in the store ...
-  std::optional<Instant> duty_free_at_;
+  std::optional<Instant> role_free_at_;
   BatchNumber handover_batch_ = 0;  ///< ... until this batch, which removes it, is stored.
   bool deposed_ = false;
 
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -110,11 +110,11 @@
   }
 
   /// Takes nothing new, and calls `done` once all that was decided is stored. A successor leaves
-  /// the duty that goes with the cell alone for `duty_left`.
-  void Release(std::chrono::milliseconds duty_left, std::function<void()> done) {
+  /// the role that goes with the cell alone for `role_pause`.
+  void Release(std::chrono::milliseconds role_pause, std::function<void()> done) {
     released_ = std::move(done);
     if (cell_ == nullptr) return FinishRelease();
-    cell_->PrepareHandover(duty_left, Time());
+    cell_->PrepareHandover(role_pause, Time());
     Pump();
   }
 
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -15,11 +15,11 @@
 /// What a successor may rely on, in milliseconds from the time of writing.
 struct Handover {
   std::map<std::string, std::int64_t> leases_left;  ///< By runner id.
-  std::int64_t duty_left = 0;
+  std::int64_t role_pause = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(leases_left, duty_left);
+    archive(leases_left, role_pause);
   }
 };
 
@@ -97,10 +97,10 @@
   }
 }
 
-void Cell::PrepareHandover(std::chrono::milliseconds duty_left, CellTime time) {
+void Cell::PrepareHandover(std::chrono::milliseconds role_pause, CellTime time) {
   authority_until_ = Instant{};
   Handover record;
-  record.duty_left = duty_left.count();
+  record.role_pause = role_pause.count();
   for (const auto& [key, runner] : runners_) {
     Instant end = runner.lease_end;
     if (unsettled_.contains(key)) end = std::max(end, runner.predecessor_end);
@@ -117,7 +117,7 @@
   if (!record.ok()) {
     LogUnreadable(number_, std::string(kHandoverKey), MessageOf(record.status()));
   } else {
-    duty_free_at_ = time.now + std::chrono::milliseconds(record->duty_left);
+    role_free_at_ = time.now + std::chrono::milliseconds(record->role_pause);
     for (const auto& [id, millis] : record->leases_left) {
       const auto key = key_by_id_.find(id);
       if (key == key_by_id_.end()) continue;
--- a/cells/cell_table.h
+++ b/cells/cell_table.h
@@ -1,4 +1,4 @@
-/// The tenures that run on this instance, and the duty that goes with one of the cells.
+/// The tenures that run on this instance, and the role that goes with one of the cells.
 #ifndef WIGEONLANE_CELLS_CELL_TABLE_H_
 #define WIGEONLANE_CELLS_CELL_TABLE_H_
 
@@ -17,11 +17,11 @@
 namespace wigeonlane {
 
 /// Work that only the owner of one cell does, under the token of its tenure.
-struct CellDuty {
+struct CellRole {
   CellNumber cell = 0;
   std::function<void(TenureToken)> begin;
   /// Nothing is done under the token after this. Returns how long a successor must leave alone what
-  /// was done last. May be called when the duty is not held.
+  /// was done last. May be called when the role is not held.
   std::function<std::chrono::milliseconds()> end;
 };
 
@@ -34,19 +34,19 @@
   /// Called when a tenure ended although the group still deals the cell to us.
   using Deposed = std::function<void(CellNumber, TenureToken)>;
 
-  CellTable(asio::io_context* io, MakeHost make_host, Deposed deposed, CellDuty duty)
+  CellTable(asio::io_context* io, MakeHost make_host, Deposed deposed, CellRole role)
       : io_(io),
         make_host_(std::move(make_host)),
         deposed_(std::move(deposed)),
-        duty_(std::move(duty)) {}
+        role_(std::move(role)) {}
 
   void Gain(CellNumber cell, TenureToken token) {
     LogDecision("cell_gained", {{"cell", Concat(cell)}, {"token", Concat(token)}});
     Host* host = (hosts_[cell] = make_host_(cell, token)).get();
-    if (cell == duty_.cell) duty_.begin(token);
+    if (cell == role_.cell) role_.begin(token);
     host->Start([this, cell, token] {
       LogWarning("cell_deposed", {{"cell", Concat(cell)}, {"token", Concat(token)}});
-      if (cell == duty_.cell) duty_.end();
+      if (cell == role_.cell) role_.end();
       asio::post(*io_, [this, cell, token] {
         Erase(cell, token);
         deposed_(cell, token);
@@ -56,12 +56,12 @@
 
   /// `released` is called once the host has stored what it decided, or at once when there is none.
   void Lose(CellNumber cell, std::function<void()> released) {
-    const auto duty_left = cell == duty_.cell ? duty_.end() : std::chrono::milliseconds(0);
+    const auto role_pause = cell == role_.cell ? role_.end() : std::chrono::milliseconds(0);
     const auto found = hosts_.find(cell);
     if (found == hosts_.end()) return asio::post(*io_, std::move(released));
     const TenureToken token = found->second->token();
     LogDecision("cell_lost", {{"cell", Concat(cell)}, {"token", Concat(token)}});
-    found->second->Release(duty_left, [this, cell, token, released = std::move(released)] {
+    found->second->Release(role_pause, [this, cell, token, released = std::move(released)] {
       asio::post(*io_, [this, cell, token, released] {
         Erase(cell, token);
         released();
@@ -71,11 +71,11 @@
 
   /// Ends all tenures; `done` is called once the last host has stored what it decided.
   void ReleaseAll(const std::function<void()>& done) {
-    const auto duty_left = duty_.end();
+    const auto role_pause = role_.end();
     if (hosts_.empty()) return asio::post(*io_, done);
     auto left = std::make_shared<std::size_t>(hosts_.size());
     for (auto& [cell, host] : hosts_) {
-      host->Release(duty_left, [this, left, done] {
+      host->Release(role_pause, [this, left, done] {
         if (--*left == 0) asio::post(*io_, done);
       });
     }
@@ -101,7 +101,7 @@
   asio::io_context* io_;
   const MakeHost make_host_;
   const Deposed deposed_;
-  const CellDuty duty_;
+  const CellRole role_;
   std::map<CellNumber, std::unique_ptr<Host>> hosts_;
 };
 
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -122,7 +122,7 @@
   options.predecessor_left = [this]() -> std::optional<Instant> {
     const Host* host = cells_.Find(kCoordinatorCell);
     if (host == nullptr || host->cell() == nullptr) return {};
-    return host->cell()->duty_free_at();
+    return host->cell()->role_free_at();
   };
   options.takeover_wait = kMachineAuthority + settings_.machine_lease;
   coordinator_ =
--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -12,7 +12,7 @@
 namespace wigeonlane {
 namespace {
 
-/// Machines whose upkeep has begun, by wave, for a later holder of the duty.
+/// Machines whose upkeep has begun, by wave, for a later holder of the role.
 constexpr std::string_view kUpkeepTopic = "keyed.upkeep";
 constexpr std::string_view kStatusTopic = "keyed.status";
 /// Each round reads the list of machines once.
@@ -46,12 +46,12 @@
 
 void MachineCoordinator::Start(TenureToken token) {
   token_ = token;
-  on_duty_ = true;
+  active_ = true;
   plans_.clear();
   answered_.clear();
   balancer_.Reset();
   const std::uint64_t tenure = ++tenure_;
-  LogDecision("upkeep_duty", {{"token", Concat(token)}, {"waves", Concat(waves_.size())}});
+  LogDecision("coordinator_started", {{"token", Concat(token)}, {"waves", Concat(waves_.size())}});
   AwaitPredecessor(tenure, clock_.Now() + options_.takeover_wait);
 }
 
@@ -66,15 +66,15 @@
 
 std::chrono::milliseconds MachineCoordinator::Stop() {
   ++tenure_;
-  on_duty_ = false;
+  active_ = false;
   timer_.cancel();
   const Instant now = clock_.Now();
   const auto left = machines_->LastOrder(now) + options_.machine_lease - now;
   return std::max(std::chrono::ceil<std::chrono::milliseconds>(left), std::chrono::milliseconds(0));
 }
 
-bool MachineCoordinator::HasDuty(std::uint64_t tenure) const {
-  return on_duty_ && tenure == tenure_ && clock_.Now() < authority_until_;
+bool MachineCoordinator::HasAuthority(std::uint64_t tenure) const {
+  return active_ && tenure == tenure_ && clock_.Now() < authority_until_;
 }
 
 void MachineCoordinator::SetWaves(const std::vector<UpkeepWave>& waves) {
@@ -122,11 +122,11 @@
                          {"begun_before", Concat(begun_before_[number].size())}});
     StoreStatus(number, false);
   }
-  if (!HasDuty(tenure)) return RoundLater(tenure);
+  if (!HasAuthority(tenure)) return RoundLater(tenure);
   balancer_.AskLoads();  // Answered by the time that the list is.
   machines_->List([this, tenure](absl::StatusOr<MachineList> machines) {
     if (tenure != tenure_) return;
-    if (machines.ok() && !machines->empty() && HasDuty(tenure)) {
+    if (machines.ok() && !machines->empty() && HasAuthority(tenure)) {
       TakeList(*machines, tenure);
     } else if (!machines.ok()) {
       LogWarning("machine_list_failed", {{"why", MessageOf(machines.status())}});
@@ -161,7 +161,7 @@
   std::set<std::string> taken;
   for (const auto& [number, plan] : plans_) taken.merge(plan.Taken());
   balancer_.Round(machines, taken, {options_.holder, token_},
-                  [this, tenure] { return HasDuty(tenure); });
+                  [this, tenure] { return HasAuthority(tenure); });
 }
 
 void MachineCoordinator::AdvancePlan(WavePlan* plan, const MachineList& machines,
@@ -196,7 +196,7 @@
 void MachineCoordinator::Order(std::uint64_t wave, const ListedMachine& machine,
                                std::uint64_t tenure) {
   const auto plan = plans_.find(wave);
-  if (!HasDuty(tenure) || plan == plans_.end()) return;
+  if (!HasAuthority(tenure) || plan == plans_.end()) return;
   const auto unanswered = plan->second.Unanswered();
   const bool repeat =
       std::find(unanswered.begin(), unanswered.end(), machine.machine) != unanswered.end();
@@ -226,7 +226,7 @@
       return RoundLater(tenure);
     case MachineAnswer::kFenced:
       LogWarning("upkeep_fenced", {{"machine", machine.machine}, {"token", Concat(token_)}});
-      if (HasDuty(tenure)) Stop();
+      if (HasAuthority(tenure)) Stop();
       return;
     case MachineAnswer::kBusy:
       return plan.FoundBusy(machine.machine, clock_.Now());
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -21,7 +21,7 @@
 
 namespace wigeonlane {
 
-/// Holds the duty while this instance owns the coordinator's cell. Machines that a former holder
+/// Holds the role while this instance owns the coordinator's cell. Machines that a former holder
 /// took down are read from the store, so that a takeover repeats nothing.
 class MachineCoordinator {
  public:
@@ -32,16 +32,16 @@
     std::chrono::milliseconds takeover_wait{6'000};
     /// How long the platform takes orders of one holder only (Bounds.LeaseMs).
     std::chrono::milliseconds machine_lease{3'000};
-    /// When a former holder that left in good order frees the duty; nothing while that is unknown.
+    /// When a former holder that left in good order frees the role; nothing while that is unknown.
     std::function<std::optional<Instant>()> predecessor_left = [] { return std::nullopt; };
   };
 
   MachineCoordinator(asio::io_context* io, MachineClient* machines, StoreClient* store,
                      CallRouter* router, Options options);
 
-  /// Takes the duty over under `token`, after the wait.
+  /// Takes the role over under `token`, after the wait.
   void Start(TenureToken token);
-  /// Gives the duty up. Returns how long another holder must order nothing.
+  /// Gives the role up. Returns how long another holder must order nothing.
   std::chrono::milliseconds Stop();
   void ExtendAuthority(Instant until) { authority_until_ = std::max(authority_until_, until); }
 
@@ -50,7 +50,7 @@
   void SetWaves(const std::vector<UpkeepWave>& waves);
 
  private:
-  bool HasDuty(std::uint64_t tenure) const;
+  bool HasAuthority(std::uint64_t tenure) const;
   void AwaitPredecessor(std::uint64_t tenure, Instant latest);
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
@@ -75,7 +75,7 @@
   asio::steady_timer timer_;
   TenureToken token_ = 0;
   std::uint64_t tenure_ = 0;  ///< Counts starts and stops, so that late answers are told apart.
-  bool on_duty_ = false;
+  bool active_ = false;
   Instant authority_until_{};
   std::map<std::uint64_t, UpkeepWave> waves_;
   std::map<std::uint64_t, std::set<std::string>> begun_before_;
--- a/tests/cells/cell_table_test.cc
+++ b/tests/cells/cell_table_test.cc
@@ -1,4 +1,4 @@
-/// Tenures on one instance and the duty that goes with a cell.
+/// Tenures on one instance and the role that goes with a cell.
 #include "cells/cell_table.h"
 
 #include <catch2/catch.hpp>
@@ -10,9 +10,9 @@
 
 using std::chrono::milliseconds;
 
-constexpr CellNumber kDutyCell = 0;
+constexpr CellNumber kRoleCell = 0;
 constexpr CellNumber kOtherCell = 3;
-constexpr milliseconds kDutyLeft{700};
+constexpr milliseconds kRolePause{700};
 
 /// A host that ends or is released when the test says so.
 class ScriptedHost {
@@ -24,15 +24,15 @@
   }
 
   void Start(std::function<void()> done) { ended = std::move(done); }
-  void Release(milliseconds duty, std::function<void()> done) {
-    duty_left = duty;
+  void Release(milliseconds role, std::function<void()> done) {
+    role_pause = role;
     released = std::move(done);
   }
   TenureToken token() const { return token_; }
 
   std::function<void()> ended;
   std::function<void()> released;
-  milliseconds duty_left{-1};
+  milliseconds role_pause{-1};
   std::function<void()> destroyed;
 
  private:
@@ -46,59 +46,59 @@
             &io_,
             [](CellNumber, TenureToken token) { return std::make_unique<ScriptedHost>(token); },
             [this](CellNumber, TenureToken token) { deposed_.push_back(token); },
-            {kDutyCell, [this](TenureToken token) { duty_ = token; },
+            {kRoleCell, [this](TenureToken token) { role_ = token; },
              [this] {
-               duty_.reset();
-               return kDutyLeft;
+               role_.reset();
+               return kRolePause;
              }}) {}
 
   asio::io_context io_;
-  std::optional<TenureToken> duty_;
+  std::optional<TenureToken> role_;
   std::vector<TenureToken> deposed_;
   CellTable<ScriptedHost> table_;
 };
 
-TEST_CASE_METHOD(CellTableTest, "Duty_ItsCellIsDeposed_EndsAtOnce") {
-  table_.Gain(kDutyCell, 8);
-  REQUIRE(duty_ == 8);
-  table_.Find(kDutyCell)->ended();
-  CHECK_FALSE(duty_);
+TEST_CASE_METHOD(CellTableTest, "Role_ItsCellIsDeposed_EndsAtOnce") {
+  table_.Gain(kRoleCell, 8);
+  REQUIRE(role_ == 8);
+  table_.Find(kRoleCell)->ended();
+  CHECK_FALSE(role_);
   io_.run();
-  CHECK(table_.Find(kDutyCell) == nullptr);
+  CHECK(table_.Find(kRoleCell) == nullptr);
   CHECK(deposed_ == std::vector<TenureToken>{8});
 }
 
-TEST_CASE_METHOD(CellTableTest, "Duty_ItsCellIsLost_EndsBeforeTheCellIsReleased") {
-  table_.Gain(kDutyCell, 8);
+TEST_CASE_METHOD(CellTableTest, "Role_ItsCellIsLost_EndsBeforeTheCellIsReleased") {
+  table_.Gain(kRoleCell, 8);
   bool released = false;
-  table_.Lose(kDutyCell, [&] { released = true; });
-  CHECK_FALSE(duty_);
+  table_.Lose(kRoleCell, [&] { released = true; });
+  CHECK_FALSE(role_);
   CHECK_FALSE(released);
-  CHECK(table_.Find(kDutyCell)->duty_left == kDutyLeft);
-  table_.Find(kDutyCell)->released();
+  CHECK(table_.Find(kRoleCell)->role_pause == kRolePause);
+  table_.Find(kRoleCell)->released();
   io_.run();
   CHECK(released);
-  CHECK(table_.Find(kDutyCell) == nullptr);
+  CHECK(table_.Find(kRoleCell) == nullptr);
 }
 
 TEST_CASE_METHOD(CellTableTest, "Loss_OfACellWhoseTenureHadEnded_IsReleasedAllTheSame") {
-  table_.Gain(kDutyCell, 8);
-  table_.Find(kDutyCell)->ended();
+  table_.Gain(kRoleCell, 8);
+  table_.Find(kRoleCell)->ended();
   io_.run();
   io_.restart();
-  duty_ = 8;  // Begun again by mistake: the loss must end it.
+  role_ = 8;  // Begun again by mistake: the loss must end it.
   bool released = false;
-  table_.Lose(kDutyCell, [&] { released = true; });
-  CHECK_FALSE(duty_);
+  table_.Lose(kRoleCell, [&] { released = true; });
+  CHECK_FALSE(role_);
   io_.run();
   CHECK(released);
 }
 
-TEST_CASE_METHOD(CellTableTest, "Duty_AnotherCellIsLost_GoesOn") {
-  table_.Gain(kDutyCell, 8);
+TEST_CASE_METHOD(CellTableTest, "Role_AnotherCellIsLost_GoesOn") {
+  table_.Gain(kRoleCell, 8);
   table_.Gain(kOtherCell, 11);
   table_.Lose(kOtherCell, [] {});
-  CHECK(duty_ == 8);
+  CHECK(role_ == 8);
 }
 
 TEST_CASE_METHOD(CellTableTest, "Host_EndedAfterALaterTenureBegan_LeavesThatOneAlone") {
@@ -112,12 +112,12 @@
 }
 
 TEST_CASE_METHOD(CellTableTest, "Clear_HostAsksForACellAsItIsDestroyed_FindsNone") {
-  table_.Gain(kDutyCell, 8);
+  table_.Gain(kRoleCell, 8);
   table_.Gain(kOtherCell, 11);
   std::size_t found = 0;
-  for (const CellNumber cell : {kDutyCell, kOtherCell}) {
+  for (const CellNumber cell : {kRoleCell, kOtherCell}) {
     table_.Find(cell)->destroyed = [&] {
-      for (const CellNumber other : {kDutyCell, kOtherCell}) found += table_.Find(other) != nullptr;
+      for (const CellNumber other : {kRoleCell, kOtherCell}) found += table_.Find(other) != nullptr;
     };
   }
   table_.Clear();
--- a/tests/cells/cell_world_test.cc
+++ b/tests/cells/cell_world_test.cc
@@ -200,16 +200,16 @@
   CHECK(world_.broken().empty());
 }
 
-TEST_CASE_METHOD(CellWorldTest, "Duty_PredecessorHandedOver_IsFreeOnceItsRecordIsRemoved") {
+TEST_CASE_METHOD(CellWorldTest, "Role_PredecessorHandedOver_IsFreeOnceItsRecordIsRemoved") {
   world_.Submit(0, 20);
   world_.Advance(milliseconds(300));
-  CHECK_FALSE(world_.cell()->duty_free_at());
+  CHECK_FALSE(world_.cell()->role_free_at());
   world_.HandOver();
   world_.Advance(milliseconds(200));
-  CHECK(world_.cell()->duty_free_at());
+  CHECK(world_.cell()->role_free_at());
   world_.TakeOver(true);  // The record is gone, and this owner said nothing.
   world_.Advance(milliseconds(200));
-  CHECK_FALSE(world_.cell()->duty_free_at());
+  CHECK_FALSE(world_.cell()->role_free_at());
 }
 
 TEST_CASE_METHOD(CellWorldTest, "Job_AllRunnersReservedAndNothingRuns_StartsOnceTheyAreFree") {
