process tests: no port is handed out twice

A port was chosen by binding to 0 and closing: the kernel may give the same one again before the program binds it, so two programs of a fleet got one port and the later one ended. 180 starts of the same site in three loops: 2 failed so, each with two programs on one port (entry2's peer port was orders-1's; entry2's was entry0's) and 'cannot listen' in the log. Ruled out: the listen backlog (all others were serving), slow lists, an instance that is not ready.

--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -13,19 +14,36 @@
 ROOT = Path(__file__).resolve().parent.parent
 START_SECONDS = 30
 STOP_SECONDS = 20
+# Characters of a log that tell why a process ended.
+LOG_TAIL = 400
+
+
+# Ports below those that the kernel gives to outgoing connections (from 32768 on).
+FIRST_PORT = 18000
+LAST_PORT = 31999
+
+_handed_out = set()
 
 
 def free_ports(count):
-    """Ports of 127.0.0.1 that were free just now, all different."""
-    sockets = []
-    for _ in range(count):
-        sock = socket.socket()
-        sock.bind(("127.0.0.1", 0))
-        sockets.append(sock)
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
+    """Ports of 127.0.0.1 that were free just now; none is handed out twice by this process.
+
+    A program binds its port some time after it was chosen, so a port must not be one that an
+    outgoing connection or a later call may take meanwhile.
+    """
+    chosen = []
+    while len(chosen) < count:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in _handed_out:
+            continue
+        _handed_out.add(port)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue  # Another program has it.
+        chosen.append(port)
+    return chosen
 
 
 def fetch(port, path, body=None, headers=None, timeout=5):
@@ -66,10 +84,12 @@
         self.start()
 
     def start(self):
+        self.stopped = False
         with open(self.log_path, "ab") as log:
             self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log)
 
     def kill(self):
+        self.stopped = True
         self.child.kill()
         self.child.wait()
 
@@ -78,6 +98,7 @@
 
     def terminate(self):
         """Graceful stop; returns the exit code."""
+        self.stopped = True
         self.child.send_signal(signal.SIGTERM)
         return self.child.wait(timeout=STOP_SECONDS)
 
@@ -189,9 +210,18 @@
             "default_deadline": "5s", "longest_deadline": "60s", **profile})
         self.publish("service", {"name": service, "pool": service, "profile": service})
 
+    def check_running(self):
+        """Raises AssertionError when a process ended that nobody stopped; names the first."""
+        for process in self.processes:
+            code = process.child.poll()
+            if code is not None and not process.stopped:
+                raise AssertionError(
+                    f"{process.name} ended with {code}: {process.log()[-LOG_TAIL:]}")
+
     def wait_serving(self, count, seconds=START_SECONDS):
         """Waits until every entry instance is ready and `count` instances serve."""
         def serving():
+            self.check_running()
             for entry in self.entries.values():
                 if fetch(entry.ports["admin"], "/readyz")[0] != 200:
                     return False
