--- /dev/null
+++ b/standin/runner_server.cc
@@ -0,0 +1,105 @@
+#include "standin/runner_server.h"
+
+#include <asio/steady_timer.hpp>
+#include <chrono>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace wigeonlane {
+namespace {
+
+constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
+/// Orders that got no answer may still be carried out seconds later (PROTOCOL.md).
+constexpr std::chrono::milliseconds kLateness{1'500};
+constexpr std::chrono::milliseconds kLongestWait{2'000};
+const nlohmann::json kCapacity = {{"Cpu", 8'000}, {"MemMb", 8'192}, {"Gpus", 0}};
+
+HttpResponse Bare(int code) {
+  HttpResponse response;
+  response.code = code;
+  return response;
+}
+
+std::string HeaderOf(const HttpRequest& request, std::string_view wanted) {
+  for (const auto& [name, value] : request.headers) {
+    if (name == wanted) return value;
+  }
+  return {};
+}
+
+std::chrono::milliseconds WaitOf(const HttpRequest& request) {
+  if (request.target != "/hold") return std::chrono::milliseconds(0);
+  const auto body = nlohmann::json::parse(request.body, nullptr, false);
+  const std::int64_t wait = body.is_object() ? body.value("WaitMs", std::int64_t{0}) : 0;
+  return std::min(std::chrono::milliseconds(wait), kLongestWait);
+}
+
+}  // namespace
+
+RunnerServer::RunnerServer(asio::io_context* io, RunnerEntry entry, StoreTopics* store,
+                           TaskLedger* ledger)
+    : io_(io),
+      entry_(std::move(entry)),
+      store_(store),
+      runner_(ledger),
+      faults_({{"silent", 0}, {"refuse", 0}, {"lose_answers", 0}, {"late_starts", 0}}),
+      server_(
+          io, [this](const HttpRequest& request, const HttpReply& reply) { Serve(request, reply); },
+          [] { return HttpServerLimits(); }) {}
+
+void RunnerServer::BeginLife() {
+  const auto born =
+      std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
+  runner_.BeginLife(clock_.Now(), born.time_since_epoch());
+  looks_.clear();
+  Publish("ready");
+}
+
+void RunnerServer::Drain() { Publish("draining"); }
+
+void RunnerServer::Publish(const std::string& state) {
+  const nlohmann::json entry = {{"Service", entry_.service},
+                                {"Address", entry_.address.ToString()},
+                                {"Zone", "dc0"},
+                                {"Version", "1"},
+                                {"State", state},
+                                {"Seq", ++published_},
+                                {"Capacity", kCapacity},
+                                {"Labels", {"kind-a", entry_.rack}},
+                                {"born", runner_.born().count()}};
+  store_->Put({"keyed.servers", 0}, entry_.id, entry.dump());
+}
+
+void RunnerServer::Serve(const HttpRequest& request, const HttpReply& reply) {
+  if (faults_.On("silent")) return;
+  if (HeaderOf(request, "X-Wigeonlane-Target-Instance") != entry_.id) {
+    return reply(Bare(kMisdirected));
+  }
+  if (faults_.Consume("refuse")) return reply(Bare(kUnavailable));
+  if (request.target == "/run-start" && faults_.Consume("late_starts")) return StartLate(request);
+  HttpResponse response = runner_.Serve(request.target, request.body, clock_.Now());
+  if (faults_.Consume("lose_answers")) return;
+  const std::chrono::milliseconds wait = WaitOf(request);
+  if (wait.count() == 0 || runner_.has_ends()) return reply(std::move(response));
+  looks_.push_back({request.body, clock_.Now() + wait, reply});
+}
+
+void RunnerServer::StartLate(const HttpRequest& request) {
+  const auto timer = std::make_shared<asio::steady_timer>(*io_, kLateness);
+  timer->async_wait([this, timer, request](asio::error_code error) {
+    if (!error) runner_.Serve(request.target, request.body, clock_.Now());
+  });
+}
+
+void RunnerServer::Advance(Instant now) {
+  runner_.Advance(now);
+  std::erase_if(looks_, [&](const OpenLook& look) {
+    if (now < look.until && !runner_.has_ends()) return false;
+    if (!faults_.On("silent")) look.reply(runner_.Serve("/hold", look.body, now));
+    return true;
+  });
+}
+
+}  // namespace wigeonlane
--- /dev/null
+++ b/standin/store_server.cc
@@ -0,0 +1,128 @@
+#include "standin/store_server.h"
+
+#include <asio/steady_timer.hpp>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace wigeonlane {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+
+HttpResponse Answer(int code, const nlohmann::json& body) {
+  HttpResponse response;
+  response.code = code;
+  response.body = body.dump();
+  return response;
+}
+
+PartitionName NameOf(const RequestQuery& query) {
+  return {query.Text("Topic"), static_cast<std::uint32_t>(query.Number("part"))};
+}
+
+}  // namespace
+
+StoreServer::StoreServer(asio::io_context* io, std::uint32_t parts)
+    : io_(io),
+      parts_(parts),
+      faults_({{"down", 0}, {"silent", 0}, {"lose_append_answers", 0}, {"delay_ms", 0}}),
+      server_(
+          io, [this](const HttpRequest& request, const HttpReply& reply) { Serve(request, reply); },
+          [] { return HttpServerLimits(); }) {}
+
+void StoreServer::Serve(const HttpRequest& request, const HttpReply& reply) {
+  if (faults_.On("silent")) return;
+  if (faults_.On("down")) return reply(Answer(kUnavailable, nlohmann::json::object()));
+  const std::chrono::milliseconds delay(faults_.Value("delay_ms"));
+  if (delay.count() == 0) return Handle(request, reply);
+  const auto timer = std::make_shared<asio::steady_timer>(*io_, delay);
+  timer->async_wait([this, timer, request, reply](asio::error_code error) {
+    if (!error) Handle(request, reply);
+  });
+}
+
+void StoreServer::Handle(const HttpRequest& request, const HttpReply& reply) {
+  const RequestQuery query(request.target);
+  try {
+    if (query.path() == "/log-append") return Append(query, request.body, reply);
+    if (query.path() == "/log-read") return Read(query, reply);
+    if (query.path() == "/log-newest") {
+      return reply(topics_.Newest(NameOf(query), query.Text("After")));
+    }
+    if (query.path() == "/log-join") return reply(Join(request.body));
+    if (query.path() == "/log-leave") return reply(Leave(request.body));
+    if (query.path() == "/log-owners") return reply(Owners(query.Text("group")));
+    reply(Answer(kNotFound, nlohmann::json::object()));
+  } catch (const nlohmann::json::exception& error) {
+    reply(Answer(kBadRequest, {{"Reason", error.what()}}));
+  }
+}
+
+void StoreServer::Append(const RequestQuery& query, const std::string& body,
+                         const HttpReply& reply) {
+  std::optional<AppendProducer> producer;
+  if (query.Has("Producer")) {
+    producer = AppendProducer{query.Text("Producer"), query.Number("epoch"), {}};
+    if (query.Has("Seq")) producer->sequence = query.Number("Seq");
+  }
+  HttpResponse response = topics_.Append(NameOf(query), producer, body);
+  if (faults_.Consume("lose_append_answers")) return;
+  reply(std::move(response));
+  Advance(clock_.Now());
+}
+
+void StoreServer::Read(const RequestQuery& query, const HttpReply& reply) {
+  const std::chrono::milliseconds wait(query.Number("WaitMs"));
+  reads_.push_back({NameOf(query), query.Number("From"), clock_.Now() + wait, reply});
+  Advance(clock_.Now());
+}
+
+void StoreServer::Advance(Instant now) {
+  const auto answered = [&](const OpenRead& read) {
+    if (now < read.until && !topics_.HasNews(read.name, read.from)) return false;
+    read.reply(topics_.Read(read.name, read.from));
+    return true;
+  };
+  std::erase_if(reads_, answered);
+}
+
+HttpResponse StoreServer::Join(const std::string& body) {
+  const nlohmann::json call = nlohmann::json::parse(body);
+  const auto name = call.at("group").get<std::string>();
+  StoreGroup& group = groups_.try_emplace(name, parts_).first->second;
+  const auto topic = call.at("Topics").at(0).get<std::string>();
+  group_topics_[name] = topic;
+  const auto held = group.Join(call.at("Member"), std::chrono::milliseconds(call.at("TtlMs")),
+                               call.at("Generation"), clock_.Now());
+  nlohmann::json rows = nlohmann::json::array();
+  for (const std::uint32_t part : held) rows.push_back({topic, part, 0});
+  return Answer(kOk, {{"Generation", group.generation()}, {"parts", rows}});
+}
+
+HttpResponse StoreServer::Leave(const std::string& body) {
+  const nlohmann::json call = nlohmann::json::parse(body);
+  const auto group = groups_.find(call.at("group").get<std::string>());
+  if (group != groups_.end()) group->second.Leave(call.at("Member"), clock_.Now());
+  return Answer(kOk, nlohmann::json::object());
+}
+
+HttpResponse StoreServer::Owners(const std::string& name) {
+  nlohmann::json rows = nlohmann::json::array();
+  if (const auto group = groups_.find(name); group != groups_.end()) {
+    for (const auto& [part, member] : group->second.holders()) {
+      rows.push_back({group_topics_[name], part, member, 0});
+    }
+  }
+  return Answer(kOk, {{"parts", rows}});
+}
+
+void StoreServer::Rebalance() {
+  for (auto& [name, group] : groups_) group.Rebalance();
+}
+
+}  // namespace wigeonlane
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -25,7 +25,7 @@
     assert ran >= least_ran, f"only {ran} requests ran: {report}"
 
 
-def run_all(module):
+def run_all(module, make_fleet=Fleet):
     """Runs every function whose name begins with test_; exits with 1 when one fails."""
     failed = 0
     passed = 0
@@ -34,7 +34,7 @@
         if not name.startswith("test_") or (only and name not in only):
             continue
         try:
-            with Fleet(BUILD) as fleet:
+            with make_fleet(BUILD) as fleet:
                 function(fleet)
             passed += 1
             print(f"passed {name}", flush=True)
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -46,12 +46,28 @@
     return chosen
 
 
-def fetch(port, path, body=None, headers=None, timeout=5):
+def free_port_pair():
+    """The first of two neighbouring ports that were free just now."""
+    while True:
+        (first,) = free_ports(1)
+        if first + 1 in _handed_out:
+            continue
+        _handed_out.add(first + 1)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", first + 1))
+            except OSError:
+                continue
+        return first
+
+
+def fetch(port, path, body=None, headers=None, timeout=5, method=None):
     """(code, headers, text) of one HTTP exchange with 127.0.0.1."""
     request = urllib.request.Request(
         f"http://127.0.0.1:{port}{path}",
         data=None if body is None else body.encode(),
         headers=headers or {},
+        method=method,
     )
     try:
         with urllib.request.urlopen(request, timeout=timeout) as answer:
@@ -76,8 +92,9 @@
 class Process:
     """One started program with its ports and log file."""
 
-    def __init__(self, fleet, name, arguments, ports):
+    def __init__(self, fleet, name, arguments, ports, environment=None):
         self.name = name
+        self.environment = {**os.environ, **(environment or {})}
         self.ports = ports
         self.log_path = fleet.directory / f"{name}.log"
         self.arguments = [str(a) for a in arguments]
@@ -86,7 +103,8 @@
     def start(self):
         self.stopped = False
         with open(self.log_path, "ab") as log:
-            self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log)
+            self.child = subprocess.Popen(self.arguments, stdout=log, stderr=log,
+                                          env=self.environment)
 
     def kill(self):
         self.stopped = True
@@ -128,8 +146,8 @@
         for process in self.processes:
             process.child.wait()
 
-    def _add(self, name, arguments, ports):
-        process = Process(self, name, arguments, ports)
+    def _add(self, name, arguments, ports, environment=None):
+        process = Process(self, name, arguments, ports, environment)
         self.processes.append(process)
         return process
 
