--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -327,6 +327,9 @@
   order show SERVICE KEY                         what the log says of an order's key
   outcome RECORD-ID                              what became of a record written earlier
   status                                         all entry instances
+  job submit PATH ID FILE                        hand a job in (JSON); PATH is the queue's, /NAME/
+  job show|cancel PATH ID
+  job pending PATH                               accepted jobs of which no task has begun
   explain ID LOG...                              a job's story from the logs of all instances
   load run FILE                                  make load and report; see docs/LOAD.md
 
--- /dev/null
+++ b/cli/job_command.h
@@ -0,0 +1,27 @@
+/// Commands that hand jobs in, show and cancel them.
+#ifndef WIGEONLANE_CLI_JOB_COMMAND_H_
+#define WIGEONLANE_CLI_JOB_COMMAND_H_
+
+#include <chrono>
+#include <string>
+#include <vector>
+
+#include "core/settings.h"
+
+namespace wigeonlane {
+
+/// What the job commands share.
+struct JobCommandContext {
+  Endpoint callers;  ///< Address of an instance's callers' interface.
+  std::string host;  ///< Host name of the queue's route.
+  std::chrono::milliseconds timeout{0};
+  bool wait = false;                        ///< Wait until the job has finished.
+  std::chrono::milliseconds wait_limit{0};  ///< Longest wait for that.
+};
+
+/// Runs `job submit|show|cancel|pending`. Returns an exit code of `exit_codes.h`.
+int RunJobCommand(const JobCommandContext& context, const std::vector<std::string>& words);
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_CLI_JOB_COMMAND_H_
--- a/cli/wigeonlane_main.cc
+++ b/cli/wigeonlane_main.cc
@@ -5,6 +5,7 @@
 #include "cli/commands.h"
 #include "cli/exit_codes.h"
 #include "cli/explain_command.h"
+#include "cli/job_command.h"
 #include "cli/load_command.h"
 #include "core/settings.h"
 
@@ -17,12 +18,14 @@
   static const std::vector<OptionSpec> kOptions = {
       {"help", "", "print this help and exit", false, true},
       {"admins", "127.0.0.1:7701", "admin addresses of the entry instances, comma-separated"},
+      {"callers", "127.0.0.1:8624", "address of an instance's callers' interface, for jobs"},
+      {"host", "", "host name of the queue that a job command is about"},
       {"output", "table", "table or json"},
       {"timeout", "8s", "longest wait for one answer, 10ms to 10m"},
       {"id", "", "record id to write under; the same id again is harmless"},
       {"replaces", "", "version that a published document replaces; the present one by default"},
-      {"wait", "", "wait until what was accepted is in force on every listed instance", false,
-       true},
+      {"wait", "", "wait until it is in force on every listed instance, or the job has finished",
+       false, true},
       {"svg", "", "file that a load run's plot is written to"},
       {"wait-limit", "17s", "longest wait for that, 10ms to 10m"},
   };
@@ -56,6 +59,16 @@
       return kExitUsage;
     }
   }
+  if (!parsed->words.empty() && parsed->words.front() == "job") {
+    const auto callers = ParseEndpoint(values.Text("callers"));
+    if (!callers.ok()) {
+      std::cerr << "wigeonlane: " << callers.status().message() << "\n";
+      return kExitUsage;
+    }
+    return RunJobCommand(
+        {*callers, values.Text("host"), *timeout, values.Switch("wait"), *wait_limit},
+        parsed->words);
+  }
   const bool json = values.Text("output") == "json";
   if (!parsed->words.empty() && parsed->words.front() == "load") {
     return RunLoadCommand(parsed->words, json, values.Text("svg"));
--- a/core/document.cc
+++ b/core/document.cc
@@ -127,6 +127,44 @@
   return names;
 }
 
+std::string DocumentReader::Text(const std::string& field, std::size_t most_bytes) {
+  const nlohmann::json* value = Find(field);
+  if (value == nullptr) return "";
+  if (value->is_string() && value->get_ref<const std::string&>().size() <= most_bytes) {
+    return value->get<std::string>();
+  }
+  Fail(field, Concat("allowed: a text of at most ", most_bytes, " bytes"));
+  return "";
+}
+
+std::vector<std::uint32_t> DocumentReader::Indices(const std::string& field,
+                                                   std::uint32_t highest) {
+  std::vector<std::uint32_t> indices;
+  const nlohmann::json* value = Find(field);
+  if (value == nullptr) return indices;
+  const auto is_index = [&](const nlohmann::json& item) {
+    return item.is_number_unsigned() && item.get<std::uint64_t>() <= highest;
+  };
+  if (!value->is_array() || !std::all_of(value->begin(), value->end(), is_index)) {
+    Fail(field, Concat("allowed: a list of whole numbers from 0 to ", highest));
+    return indices;
+  }
+  for (const nlohmann::json& item : *value) indices.push_back(item.get<std::uint32_t>());
+  return indices;
+}
+
+std::vector<const nlohmann::json*> DocumentReader::Objects(const std::string& field,
+                                                           std::size_t most) {
+  std::vector<const nlohmann::json*> objects;
+  const nlohmann::json* value = Find(field);
+  if (value == nullptr || !value->is_array() || value->empty() || value->size() > most) {
+    Fail(field, Concat("required; allowed: a list of 1 to ", most, " objects"));
+    return objects;
+  }
+  for (const nlohmann::json& item : *value) objects.push_back(&item);
+  return objects;
+}
+
 absl::Status DocumentReader::Finish() {
   if (!status_.ok() || !object_.is_object()) return status_;
   for (const auto& [field, value] : object_.items()) {
--- a/core/document.h
+++ b/core/document.h
@@ -52,6 +52,15 @@
   /// An optional list of names.
   std::vector<std::string> Names(const std::string& field);
 
+  /// An optional text of at most `most_bytes`.
+  std::string Text(const std::string& field, std::size_t most_bytes);
+
+  /// An optional list of whole numbers from 0 to `highest`.
+  std::vector<std::uint32_t> Indices(const std::string& field, std::uint32_t highest);
+
+  /// A required list of 1 to `most` objects, which live as long as this reader's object.
+  std::vector<const nlohmann::json*> Objects(const std::string& field, std::size_t most);
+
   /// Records an error about `field` unless one was recorded before.
   void Fail(const std::string& field, std::string_view problem);
 
--- a/jobs/job.cc
+++ b/jobs/job.cc
@@ -5,21 +5,13 @@
 namespace wigeonlane {
 namespace {
 
-/// Longest payload of the published interface, in bytes.
-constexpr std::size_t kLargestPayload = 4'000;
-/// Bounds that keep a job's progress below the store's record size of 256 KiB.
-constexpr std::size_t kMostSteps = 256;
-constexpr std::uint32_t kMostTasksOfStep = 5'000;
-constexpr std::uint64_t kMostTasksOfJob = 5'000;
-constexpr std::uint32_t kMostOccurrences = 100'000;
-
 absl::Status BadStep(std::size_t step, std::string_view why) {
   return absl::InvalidArgumentError(Concat("step ", step, ": ", why));
 }
 
 absl::Status ValidateStep(const StepSpec& spec, std::size_t step) {
-  if (spec.count == 0 || spec.count > kMostTasksOfStep) {
-    return BadStep(step, Concat("count must be 1 to ", kMostTasksOfStep));
+  if (spec.count == 0 || spec.count > kMostTasks) {
+    return BadStep(step, Concat("count must be 1 to ", kMostTasks));
   }
   const Resources& need = spec.need;
   if (need.cpu_milli < 0 || need.memory_mb < 0 || need.gpus < 0) {
@@ -69,8 +61,8 @@
     if (absl::Status status = ValidateStep(spec.steps[step], step); !status.ok()) return status;
     tasks += spec.steps[step].count;
   }
-  if (tasks > kMostTasksOfJob) {
-    return absl::InvalidArgumentError(Concat("a job has at most ", kMostTasksOfJob, " tasks"));
+  if (tasks > kMostTasks) {
+    return absl::InvalidArgumentError(Concat("a job has at most ", kMostTasks, " tasks"));
   }
   if (spec.times > kMostOccurrences || spec.period.count() < 0) {
     return absl::InvalidArgumentError("occurrences or their period are out of range");
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -114,6 +114,13 @@
   }
 };
 
+/// Bounds that hold for every job. The payload's is that of the published interface; the others
+/// keep a job's progress below the store's record size of 256 KiB.
+inline constexpr std::size_t kLargestPayload = 4'000;  ///< Bytes.
+inline constexpr std::size_t kMostSteps = 256;
+inline constexpr std::uint32_t kMostTasks = 5'000;  ///< Of one step and of all together.
+inline constexpr std::uint32_t kMostOccurrences = 100'000;
+
 /// Checks bounds that hold for every job. Errors: InvalidArgument that names the field.
 absl::Status ValidateJob(const JobSpec& spec);
 
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <string>
 
+#include "core/codec.h"
 #include "platform/advisor_client.h"
 #include "platform/config_codec.h"
 #include "platform/job_codec.h"
@@ -175,5 +176,32 @@
   }
 }
 
+TEST_CASE("Job_EncodedAndDecoded_IsTheSame") {
+  JobSpec spec;
+  spec.payload = "text with \"quotes\"";
+  spec.times = 2;
+  spec.start_at = milliseconds(1'000);
+  spec.period = milliseconds(500);
+  StepSpec plain;
+  plain.need = {250, 64, 0};
+  plain.estimate = milliseconds(30);
+  StepSpec full = plain;
+  full.count = 7;
+  full.need.gpus = 2;
+  full.after = {0};
+  full.checkpointing = full.gang = full.same_rack = full.speculative = true;
+  full.long_running = full.fills = true;
+  full.required_label = "kind-a";
+  full.preferred_rack = "r1-2";
+  full.most_per_runner = 3;
+  full.may_be_missing = 1;
+  full.image = "image";
+  full.tail_target = milliseconds(40);
+  spec.steps = {plain, full};
+  const auto decoded = DecodeJob(EncodeJob(spec));
+  REQUIRE(decoded.ok());
+  CHECK(Encode(*decoded) == Encode(spec));
+}
+
 }  // namespace
 }  // namespace wigeonlane
--- a/tests/process/harness.py
+++ b/tests/process/harness.py
@@ -7,7 +7,7 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[2] / "tools"))
 
-from fleet import Fleet, fetch, free_ports, wait_until  # noqa: E402,F401
+from fleet import ROOT, Fleet, fetch, free_ports, wait_until  # noqa: E402,F401
 
 BUILD = os.environ.get("WIGEONLANE_BUILD", "build")
 # Multiplies the load of the scenarios for runs by hand.
--- a/tests/process/jobs_test.py
+++ b/tests/process/jobs_test.py
@@ -6,7 +6,7 @@
 import sys
 import time
 
-from harness import run_all
+from harness import ROOT, run_all
 from job_fleet import HOST, JobFleet
 
 POOLS = {"alpha": 4, "beta": 2}
@@ -95,6 +95,37 @@
     assert not running, running
 
 
+def test_operators_tool_hands_in_shows_and_cancels(fleet):
+    site(fleet)
+    document = ROOT / "examples/quito/job/day-books.json"
+    code, output = fleet.job_tool("submit", "/bills/", job_id(1), document)
+    assert (code, output) == (0, "accepted\n"), (code, output)
+    code, output = fleet.job_tool("--wait", "show", "/bills/", job_id(1))
+    assert code == 0 and output.endswith("completed\n"), (code, output)
+    code, output = fleet.job_tool("--wait", "submit", "/scans/", job_id(2), document)
+    assert code == 0 and output.endswith("completed\n"), (code, output)
+    endless = fleet.directory / "endless.json"
+    endless.write_text(json.dumps({"payload": json.dumps({"ms": -1}),
+                                   "steps": [{"tasks": 2, "cpu_milli": 100}]}))
+    assert fleet.job_tool("submit", "/bills/", job_id(3), endless)[0] == 0
+    assert fleet.job_tool("cancel", "/bills/", job_id(3))[0] == 0
+    code, output = fleet.job_tool("--wait", "show", "/bills/", job_id(3))
+    assert code == 1 and output.endswith("cancelled\n"), (code, output)
+    assert fleet.job_tool("pending", "/letters/") == (0, "0\n")
+    assert fleet.job_tool("show", "/bills/", job_id(4))[0] == 1
+    assert fleet.job_tool("show", "/nowhere/", job_id(1))[0] == 1
+    for words in (("submit", "/bills/", "12", document), ("submit", "bills", job_id(5), document),
+                  ("submit", "/bills/", job_id(5), "/nowhere"), ("what",), ("show", "/bills/")):
+        assert fleet.job_tool(*words)[0] == 2, words
+    fleet.control("/faults", json.dumps({"down": 1}))
+    code, output = fleet.job_tool("submit", "/bills/", job_id(6), document)
+    assert code in (1, 3), (code, output)
+    fleet.control("/faults", json.dumps({"down": 0}))
+    if code == 1:
+        time.sleep(2)
+        assert fleet.state("bills", job_id(6)) == 410, "refused, and yet it is there"
+
+
 def test_unknown_jobs_queues_and_bad_bodies_are_refused_clearly(fleet):
     site(fleet, instances=1)
     assert fleet.call("GET", "letters", job_id(1))[0] == 410
--- a/tools/job_fleet.py
+++ b/tools/job_fleet.py
@@ -135,6 +135,15 @@
             raise AssertionError(f"{error}; open: {open_jobs}") from error
         return states
 
+    def admins(self):
+        return "127.0.0.1:1"  # Instances for jobs have no admin address.
+
+    def job_tool(self, *words, instance="instance0"):
+        """(exit code, output) of the operators' tool's job commands at one instance."""
+        entry = self.entries[instance]
+        return self.tool("--callers", f"127.0.0.1:{entry.ports['http']}", "--host", HOST,
+                         "job", *words)
+
     def ledger(self):
         return json.loads(self.control("/ledger")[2])
 
