cells: runners are asked and work goes on while an append hangs

Cause: a runner with ends that were not stored yet was not asked again until they were. While the append of a cell hung, its runners' further ends were not seen, no task took their room, their leases ran out after 5 s and all they ran lapsed; besides the cell woke every millisecond.

Ruled out: lost authority (renewals were confirmed), the connection (other cells of the store were written by the same instance).

Change: such a runner is asked every 200 ms. Nothing is forgotten before it is stored, as before.

Tests: cell_stall_test, three cases that failed; the fuzzing with four seeds.

--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -53,7 +53,8 @@
       runner->stored_end = runner->seen_end;
     }
   }
-  runner->next_look = time.now + options_.look_gap;
+  const bool unstored = runner->stored_end < runner->seen_end;
+  runner->next_look = time.now + (unstored ? options_.unstored_look : options_.look_gap);
   schedule_wanted_ = true;
 }
 
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -173,7 +173,6 @@
   const bool wanted =
       !runner->claimed || !runner->runs.empty() || runner->told_end < runner->stored_end;
   if (!wanted || runner->looking || time.now < runner->next_look) return;
-  if (runner->stored_end < runner->seen_end && runner->looks_failed == 0) return;
   if (runner->claimed && runner->runs.empty() && !runner->listed) return;
   LookOrder look;
   look.runner = runner->key;
