--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -37,8 +37,8 @@
   std::chrono::milliseconds watch_wait{500};
   /// Least time between two looks at one runner, so that ends are noted in batches.
   std::chrono::milliseconds look_gap{30};
-  /// Pause before a runner whose ends the store has not taken yet is asked again; a look cannot wait
-  /// for news there. A lease is 25 times as long.
+  /// Pause before a runner whose ends the store has not taken yet is asked again; a look cannot
+  /// wait for news there. A lease is 25 times as long.
   std::chrono::milliseconds unstored_look{200};
   /// Pause after a look that failed.
   std::chrono::milliseconds look_retry{200};
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -128,6 +128,11 @@
 
   std::uint64_t generation() const { return generation_; }
 
+  /// Until the next renewal. Work waits for it while the store cannot be reached.
+  std::chrono::milliseconds pause() const {
+    return reachable_ ? options_.member.ttl / kRenewalsPerTtl : kRejoinRetry;
+  }
+
  private:
   /// Renewals in one time to live, so that two may be lost.
   static constexpr int kRenewalsPerTtl = 4;
@@ -165,7 +170,7 @@
   }
 
   void Schedule() {
-    timer_.expires_after(options_.member.ttl / kRenewalsPerTtl);
+    timer_.expires_after(pause());
     timer_.async_wait([this](asio::error_code error) {
       if (!error && !renewing_ && !leaving_) Renew();
     });
--- a/tests/cells/ownership_test.cc
+++ b/tests/cells/ownership_test.cc
@@ -128,5 +128,16 @@
   CHECK(group_.left.size() == 3);
 }
 
+TEST_CASE_METHOD(OwnershipTest, "Renewal_StoreIsAway_IsTriedMoreOftenUntilItIsBack") {
+  group_.views = {{3, {0}}};
+  ownership_->Start();
+  CHECK(ownership_->pause() == milliseconds(500));
+  ownership_->RenewNow();  // The script is over: the store is away.
+  CHECK(ownership_->pause() == milliseconds(200));
+  group_.views = {{3, {0}}};
+  ownership_->RenewNow();
+  CHECK(ownership_->pause() == milliseconds(500));
+}
+
 }  // namespace
 }  // namespace wigeonlane
