--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -11,7 +11,7 @@
 /// `lease / slowest_clock` after it was granted. So a successor may assume that nothing of its
 /// predecessor runs on a runner it cannot reach once `PredecessorBound()` has passed.
 struct CellOptions {
-  /// Leases survive a takeover (about 2.5 s) and bound how long a lost runner blocks its tasks.
+  /// Leases survive a takeover (about 1.5 s) and bound how long a lost runner blocks its tasks.
   std::chrono::milliseconds lease{5'000};
   /// Longest lease that a runner grants, whatever it is asked for.
   std::chrono::milliseconds longest_lease{10'000};
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -17,7 +17,7 @@
 constexpr std::string_view kWavePrefix = "wave/";
 /// Whoever owns this cell orders the machines as well.
 constexpr CellNumber kCoordinatorCell = 0;
-/// Machines are ordered for this long after a renewal was sent, three times its period (500 ms). An
+/// Machines are ordered for this long after a renewal was sent, six times its period (250 ms). An
 /// outage of the store stops moves earlier than starts, and a successor waits less.
 constexpr std::chrono::milliseconds kMachineAuthority{1'500};
 /// The configuration must be in force 2 s after its acknowledgement (ConfigApplyMs); a read that
