cells: a successor releases no runner until its predecessor's releases have lapsed

Ruled out: the member's shorter time to live (the change of hands was a restart in turn; more of them only make it likelier), the coordinator (it asked each time).

Change: a lasting task of an inherited job is not ended by us until 2 s after the cell was restored.

cell_reservation_test failed before.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -239,6 +239,7 @@
   const CellOptions options_;
   Instant authority_until_{};
   bool handover_stands_ = false;  ///< A predecessor's record is still in the store ...
+  Instant restored_at_{};
   std::optional<Instant> role_free_at_;
   BatchNumber handover_batch_ = 0;  ///< ... until this batch, which removes it, is stored.
   bool deposed_ = false;
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -58,6 +58,8 @@
   if (entry == nullptr || IsFinal(entry->job.state())) return true;
   const StepSpec& spec = entry->job.spec().steps[id.step];
   if (!spec.long_running) return false;
+  // What a predecessor released, or was stopping, may go down at any time and is not known here.
+  if (entry->inherited && now < restored_at_ + kReservation) return false;
   const auto& tasks = entry->job.occurrences()[id.occurrence].steps[id.step].tasks;
   std::uint32_t away = 0;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -30,6 +30,7 @@
 }  // namespace
 
 void Cell::Restore(const std::vector<StoreRecord>& records, CellTime time) {
+  restored_at_ = time.now;
   for (const StoreRecord& record : records) {
     if (record.value && record.key.starts_with(kJobPrefix)) {
       RestoreJob(record.key, *record.value, time);
