--- a/cells/cell_load.cc
+++ b/cells/cell_load.cc
@@ -52,7 +52,7 @@
   }
   for (const auto& [service, meter] : arrivals_) {
     loads[service].arriving_cpu_milli =
-        static_cast<std::int64_t>(meter.Cores(time.now) * kMilliPerCore);
+        static_cast<std::int64_t>(meter.ExpectedCores(time.now) * kMilliPerCore);
   }
   CallAnswer answer{CallVerdict::kLoads};
   for (auto& [service, load] : loads) {
