--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -75,10 +75,10 @@
   /// place of after its time to live. Should it be alive all the same, fences keep its orders out
   /// as in any other change of hands. `evicted` is called once the store has done it.
   void Evict(const std::string& member, std::function<void()> evicted) {
-    const auto [at, first] = evicted_at_.try_emplace(member, clock_->Now());
-    const bool again = !first && clock_->Now() - at->second >= options_.member.ttl;
-    if (leaving_ || member == options_.member.member || (!first && !again)) return;
-    at->second = clock_->Now();
+    if (leaving_ || member == options_.member.member) return;
+    const auto [last, first] = evicted_at_.try_emplace(member, clock_->Now());
+    if (!first && clock_->Now() - last->second < options_.member.ttl) return;
+    last->second = clock_->Now();
     LogDecision("evict", {{"member", member}, {"generation", Concat(generation_)}});
     store_->Leave(
         options_.member.group, member,
--- a/tests/jobs/job_document_test.cc
+++ b/tests/jobs/job_document_test.cc
@@ -57,10 +57,9 @@
   CHECK(Error(R"({"steps": [{}]})").starts_with("job.steps[0].cpu_milli"));
   CHECK(Error(R"({"steps": [{"cpu_milli": 1, "tasks": 0}]})").starts_with("job.steps[0].tasks"));
   CHECK(Error(R"({"steps": [{"cpu_milli": 1, "Count": 2}]})").starts_with("job.steps[0].Count"));
-  CHECK(Error(R"({"steps": [{"cpu_milli": 1, "after": ["a"]}]})")
-            .starts_with("job.steps[0].after"));
-  CHECK(Error(R"({"steps": [{"cpu_milli": 1, "after": [-1]}]})")
-            .starts_with("job.steps[0].after"));
+  CHECK(
+      Error(R"({"steps": [{"cpu_milli": 1, "after": ["a"]}]})").starts_with("job.steps[0].after"));
+  CHECK(Error(R"({"steps": [{"cpu_milli": 1, "after": [-1]}]})").starts_with("job.steps[0].after"));
   CHECK(Error(R"({"steps": [{"cpu_milli": 1, "after": [0]}]})").starts_with("step 0"));
   CHECK(Error(R"({"payload": 7, "steps": [{"cpu_milli": 1}]})").starts_with("job.payload"));
   CHECK(Error(R"({"steps": [{"cpu_milli": 1, "tasks": 3000}, {"cpu_milli": 1, "tasks": 3000}]})")
