stand-in runner: a task fails so many times, whatever its runs are numbered

Their owner changed after the second failure; a successor's runs are numbered from its token on (14001), and the stand-in let runs numbered 1 to 3 fail. Logs of the run show run 2 failed, run 14001 done. The product did right.

The stand-in now counts the failed runs of a task.

--- a/standin/task_ledger.cc
+++ b/standin/task_ledger.cc
@@ -32,6 +32,11 @@
   task.done_noted = true;
 }
 
+std::uint64_t TaskLedger::Failures(const std::string& name) const {
+  const auto found = tasks_.find(name);
+  return found == tasks_.end() ? 0 : found->second.failed;
+}
+
 std::string TaskLedger::ToJson() const {
   nlohmann::json tasks = nlohmann::json::object();
   for (const auto& [name, task] : tasks_) {
--- a/standin/task_ledger.h
+++ b/standin/task_ledger.h
@@ -20,6 +20,9 @@
   /// The end was taken note of: an end `done` then stands for good.
   void Noted(std::uint64_t end);
 
+  /// Runs of the task that have failed.
+  std::uint64_t Failures(const std::string& task) const;
+
   std::string ToJson() const;
 
  private:
--- a/standin/task_runner.cc
+++ b/standin/task_runner.cc
@@ -66,7 +66,7 @@
   const auto millis = fate.is_object() ? fate.value("ms", kDefaultTaskMillis) : kDefaultTaskMillis;
   const auto fails = fate.is_object() ? fate.value("fails", std::uint64_t{0}) : 0;
   const Clock takes = millis < 0 ? Clock(kForever) : Clock(millis);
-  runs_[task] = {run, Now(now) + takes, run <= fails};
+  runs_[task] = {run, Now(now) + takes, ledger_->Failures(task) < fails};
   ledger_->Started(task);
   return Answer(kOk, {{"ClockMs", Now(now).count()}});
 }
--- a/standin/task_runner.h
+++ b/standin/task_runner.h
@@ -16,8 +16,8 @@
 namespace wigeonlane {
 
 /// Answers the calls of PROTOCOL.md. A task's payload says how it fares, as JSON: `{"ms":50}` takes
-/// so long, `"fails":1` lets its first run fail, `{"ms":-1}` runs until it is stopped. Not safe for
-/// several threads.
+/// so long, `"fails":1` lets its first run fail, whatever its number, `{"ms":-1}` runs until it is
+/// stopped. Not safe for several threads.
 class TaskRunner {
  public:
   explicit TaskRunner(TaskLedger* ledger) : ledger_(ledger) {}
--- a/tests/process/jobs_test.py
+++ b/tests/process/jobs_test.py
@@ -73,6 +73,15 @@
         assert task["failed"] <= 3 and task["starts"] <= 3, (name, task)
 
 
+def test_attempts_are_counted_across_a_change_of_owner(fleet):
+    site(fleet)
+    jobs = hand_in(fleet, 0x1000, 6, millis=300, fails=3)
+    fleet.control("/rebalance")
+    check(fleet, jobs, expected="failed")
+    for name, task in fleet.ledger()["tasks"].items():
+        assert task["failed"] <= 3, (name, task)
+
+
 def test_a_repeated_submission_is_one_job(fleet):
     site(fleet)
     jobs = hand_in(fleet, 0x1000, 9)
