net: status codes, bare answers and big-endian numbers stand in one place

Change: core/http_status.h, core/big_endian.h, BareResponse, standin/json_response.h. No behaviour is meant to change.

--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "core/http_status.h"
 #include "core/logging.h"
 #include "core/text.h"
 
@@ -30,14 +31,6 @@
 /// What is left of the grace period when the process gives up on requests in flight.
 constexpr std::chrono::milliseconds kExitMargin{500};
 constexpr std::chrono::milliseconds kShutdownPoll{50};
-constexpr int kOk = 200;
-constexpr int kUnavailable = 503;
-
-HttpResponse Bare(int code) {
-  HttpResponse response;
-  response.code = code;
-  return response;
-}
 
 OwnershipOptions GroupOptions(const PlatformSettings& settings) {
   OwnershipOptions options;
@@ -99,14 +92,14 @@
           &io_,
           [this](const HttpRequest&, const HttpReply& reply) {
             const bool ready = !draining_ && routes_.version() > 0;
-            reply(Bare(ready ? kOk : kUnavailable));
+            reply(BareResponse(ready ? http_status::kOk : http_status::kUnavailable));
           },
           [] { return HttpServerLimits(); }),
       metrics_server_(
           &io_,
           [this](const HttpRequest&, const HttpReply& reply) {
             UpdateGauges();
-            HttpResponse response = Bare(kOk);
+            HttpResponse response = BareResponse(http_status::kOk);
             response.body = metrics_.Text();
             response.content_type = "text/plain";
             reply(std::move(response));
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -12,6 +12,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "core/http_status.h"
 #include "core/logging.h"
 #include "core/text.h"
 #include "net/http_feed.h"
@@ -23,10 +24,6 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kReadBytes = 4 * 1024;
-constexpr int kBadRequest = 400;
-constexpr int kRequestTimeout = 408;
-constexpr int kPayloadTooLarge = 413;
-constexpr int kHeadersTooLarge = 431;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string Standard(boost::beast::string_view text) { return {text.data(), text.size()}; }
@@ -44,9 +41,9 @@
 }
 
 int StatusOfParseError(const boost::system::error_code& error) {
-  if (error == http::error::body_limit) return kPayloadTooLarge;
-  if (error == http::error::header_limit) return kHeadersTooLarge;
-  return kBadRequest;
+  if (error == http::error::body_limit) return http_status::kPayloadTooLarge;
+  if (error == http::error::header_limit) return http_status::kHeadersTooLarge;
+  return http_status::kBadRequest;
 }
 
 }  // namespace
@@ -110,7 +107,7 @@
       const auto self = weak.lock();
       if (error || self == nullptr || self->answering_) return;
       if (self->idle()) return self->Close();
-      self->Reject(kRequestTimeout);
+      self->Reject(http_status::kRequestTimeout);
     });
   }
 
--- a/net/http_message.h
+++ b/net/http_message.h
@@ -30,6 +30,13 @@
   std::string content_type = "application/json";
 };
 
+/// A response without a body.
+inline HttpResponse BareResponse(int code) {
+  HttpResponse response;
+  response.code = code;
+  return response;
+}
+
 /// Receives the outcome of one exchange of the asynchronous client, exactly once.
 using HttpCallback = std::function<void(HttpExchange)>;
 
--- a/standin/backend_main.cc
+++ b/standin/backend_main.cc
@@ -11,6 +11,7 @@
 #include "core/document.h"
 #include "core/http_client.h"
 #include "core/http_server.h"
+#include "core/http_status.h"
 #include "core/settings.h"
 #include "core/text.h"
 #include "standin/execution_ledger.h"
@@ -23,7 +24,6 @@
 constexpr std::chrono::milliseconds kPoll{5};
 constexpr std::chrono::milliseconds kPlatformTimeout{1'000};
 constexpr std::chrono::milliseconds kRegisterAgain{100};
-constexpr int kOk = 200;
 /// A reboot ends only after idle connections timed out, since the library waits for them.
 constexpr std::chrono::seconds kIdleTimeout{3};
 constexpr std::ptrdiff_t kMostSlots = 4096;
@@ -65,7 +65,7 @@
     response->set_header("Wigeonlane-Request-Id", id);
     while (faults_.On("frozen") && !g_stop) std::this_thread::sleep_for(kPoll);
     if (faults_.Consume("refuse")) {
-      response->status = 503;
+      response->status = http_status::kUnavailable;
       response->set_header("Wigeonlane-Refused", "not-run");
       return;
     }
@@ -99,7 +99,7 @@
   void WriteAnswer(const httplib::Request& request, const std::string& id,
                    httplib::Response* response) {
     const std::string body = Concat("done ", id, " ", request.body);
-    response->status = 200;
+    response->status = http_status::kOk;
     if (faults_.Consume("wrong_ids")) {
       response->headers.erase("Wigeonlane-Request-Id");
       response->set_header("Wigeonlane-Request-Id", "someone-elses");
@@ -183,7 +183,7 @@
        settings.control.port}}.dump();
   while (!g_stop) {
     const HttpExchange exchange = client.Post("/instances/register", body);
-    if (exchange.answer.ok() && exchange.answer->code == kOk) return;
+    if (exchange.answer.ok() && exchange.answer->code == http_status::kOk) return;
     std::this_thread::sleep_for(kRegisterAgain);
   }
 }
--- a/standin/job_platform_main.cc
+++ b/standin/job_platform_main.cc
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/strings/str_split.h"
+#include "core/http_status.h"
 #include "core/settings.h"
 #include "core/text.h"
 #include "net/async_http_server.h"
@@ -22,9 +23,6 @@
 /// Ends of tasks are seen this much late.
 constexpr std::chrono::milliseconds kTick{5};
 constexpr std::size_t kRunnersPerRack = 2;
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
 const PartitionName kOperatorTopic{"keyed.op", 0};
 
 const std::vector<OptionSpec>& Options() {
@@ -95,23 +93,23 @@
   }
 
   HttpResponse Control(const RequestQuery& query, const std::string& body) {
-    if (query.path() == "/ledger") return Text(kOk, ledger_.ToJson());
+    if (query.path() == "/ledger") return Text(http_status::kOk, ledger_.ToJson());
     if (query.path() == "/operator") {
       store_.topics().Put(kOperatorTopic, query.Text("key"), body);
-      return Text(kOk, "");
+      return Text(http_status::kOk, "");
     }
     if (query.path() == "/rebalance") {
       store_.Rebalance();
-      return Text(kOk, "");
+      return Text(http_status::kOk, "");
     }
     if (query.path() == "/compact") {
       store_.topics().Compact(
           {query.Text("topic"), static_cast<std::uint32_t>(query.Number("part"))});
-      return Text(kOk, "");
+      return Text(http_status::kOk, "");
     }
     if (query.path() != "/faults") return ControlRunner(query, body);
     const absl::Status status = store_.faults().SetFromJson(body);
-    return Text(status.ok() ? kOk : kBadRequest, MessageOf(status));
+    return Text(status.ok() ? http_status::kOk : http_status::kBadRequest, MessageOf(status));
   }
 
   HttpResponse ControlRunner(const RequestQuery& query, const std::string& body) {
@@ -125,16 +123,15 @@
       } else if (query.path() == "/runner/faults") {
         status = runner->faults().SetFromJson(body);
       } else {
-        return Text(kNotFound, "");
+        return Text(http_status::kNotFound, "");
       }
-      return Text(status.ok() ? kOk : kBadRequest, MessageOf(status));
+      return Text(status.ok() ? http_status::kOk : http_status::kBadRequest, MessageOf(status));
     }
-    return Text(kNotFound, "no such runner");
+    return Text(http_status::kNotFound, "no such runner");
   }
 
   static HttpResponse Text(int code, std::string body) {
-    HttpResponse response;
-    response.code = code;
+    HttpResponse response = BareResponse(code);
     response.body = std::move(body);
     return response;
   }
--- a/standin/runner_server.cc
+++ b/standin/runner_server.cc
@@ -6,22 +6,16 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "core/http_status.h"
+
 namespace wigeonlane {
 namespace {
 
-constexpr int kMisdirected = 421;
-constexpr int kUnavailable = 503;
 /// Orders that got no answer may still be carried out seconds later (PROTOCOL.md).
 constexpr std::chrono::milliseconds kLateness{1'500};
 constexpr std::chrono::milliseconds kLongestWait{2'000};
 const nlohmann::json kCapacity = {{"Cpu", 8'000}, {"MemMb", 8'192}, {"Gpus", 0}};
 
-HttpResponse Bare(int code) {
-  HttpResponse response;
-  response.code = code;
-  return response;
-}
-
 std::string HeaderOf(const HttpRequest& request, std::string_view wanted) {
   for (const auto& [name, value] : request.headers) {
     if (name == wanted) return value;
@@ -75,9 +69,9 @@
 void RunnerServer::Serve(const HttpRequest& request, const HttpReply& reply) {
   if (faults_.On("silent")) return;
   if (HeaderOf(request, "X-Wigeonlane-Target-Instance") != entry_.id) {
-    return reply(Bare(kMisdirected));
+    return reply(BareResponse(http_status::kMisdirected));
   }
-  if (faults_.Consume("refuse")) return reply(Bare(kUnavailable));
+  if (faults_.Consume("refuse")) return reply(BareResponse(http_status::kUnavailable));
   if (request.target == "/run-start" && faults_.Consume("late_starts")) return StartLate(request);
   HttpResponse response = runner_.Serve(request.target, request.body, clock_.Now());
   if (faults_.Consume("lose_answers")) return;
--- a/standin/store_server.cc
+++ b/standin/store_server.cc
@@ -6,21 +6,12 @@
 #include <optional>
 #include <utility>
 
+#include "core/http_status.h"
+#include "standin/json_response.h"
+
 namespace wigeonlane {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kUnavailable = 503;
-
-HttpResponse Answer(int code, const nlohmann::json& body) {
-  HttpResponse response;
-  response.code = code;
-  response.body = body.dump();
-  return response;
-}
-
 PartitionName NameOf(const RequestQuery& query) {
   return {query.Text("Topic"), static_cast<std::uint32_t>(query.Number("part"))};
 }
@@ -37,7 +28,9 @@
 
 void StoreServer::Serve(const HttpRequest& request, const HttpReply& reply) {
   if (faults_.On("silent")) return;
-  if (faults_.On("down")) return reply(Answer(kUnavailable, nlohmann::json::object()));
+  if (faults_.On("down")) {
+    return reply(JsonResponse(http_status::kUnavailable, nlohmann::json::object()));
+  }
   const std::chrono::milliseconds delay(faults_.Value("delay_ms"));
   if (delay.count() == 0) return Handle(request, reply);
   const auto timer = std::make_shared<asio::steady_timer>(*io_, delay);
@@ -57,9 +50,9 @@
     if (query.path() == "/log-join") return reply(Join(request.body));
     if (query.path() == "/log-leave") return reply(Leave(request.body));
     if (query.path() == "/log-owners") return reply(Owners(query.Text("group")));
-    reply(Answer(kNotFound, nlohmann::json::object()));
+    reply(JsonResponse(http_status::kNotFound, nlohmann::json::object()));
   } catch (const nlohmann::json::exception& error) {
-    reply(Answer(kBadRequest, {{"Reason", error.what()}}));
+    reply(JsonResponse(http_status::kBadRequest, {{"Reason", error.what()}}));
   }
 }
 
@@ -101,14 +94,14 @@
                                call.at("Generation"), clock_.Now());
   nlohmann::json rows = nlohmann::json::array();
   for (const std::uint32_t part : held) rows.push_back({topic, part, 0});
-  return Answer(kOk, {{"Generation", group.generation()}, {"parts", rows}});
+  return JsonResponse(http_status::kOk, {{"Generation", group.generation()}, {"parts", rows}});
 }
 
 HttpResponse StoreServer::Leave(const std::string& body) {
   const nlohmann::json call = nlohmann::json::parse(body);
   const auto group = groups_.find(call.at("group").get<std::string>());
   if (group != groups_.end()) group->second.Leave(call.at("Member"), clock_.Now());
-  return Answer(kOk, nlohmann::json::object());
+  return JsonResponse(http_status::kOk, nlohmann::json::object());
 }
 
 HttpResponse StoreServer::Owners(const std::string& name) {
@@ -118,7 +111,7 @@
       rows.push_back({group_topics_[name], part, member, 0});
     }
   }
-  return Answer(kOk, {{"parts", rows}});
+  return JsonResponse(http_status::kOk, {{"parts", rows}});
 }
 
 void StoreServer::Rebalance() {
--- a/standin/store_topics.cc
+++ b/standin/store_topics.cc
@@ -3,40 +3,20 @@
 #include <nlohmann/json.hpp>
 
 #include "absl/strings/escaping.h"
+#include "core/big_endian.h"
+#include "core/http_status.h"
+#include "standin/json_response.h"
 
 namespace wigeonlane {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kConflict = 409;
-constexpr int kGone = 410;
 constexpr std::size_t kLengthBytes = 4;
 constexpr std::size_t kOffsetBytes = 8;
-constexpr unsigned kBitsPerByte = 8;
 /// Bounds of PROTOCOL.md: bytes of a read, records of a page, answers kept for repeats.
 constexpr std::size_t kReadBytes = 1024 * 1024;
 constexpr std::size_t kPageRecords = 500;
 constexpr std::size_t kRepeats = 5;
 
-std::uint64_t BigEndian(std::string_view bytes) {
-  std::uint64_t value = 0;
-  for (const char byte : bytes) value = value << kBitsPerByte | static_cast<unsigned char>(byte);
-  return value;
-}
-
-void AppendBigEndian(std::string* out, std::uint64_t value, std::size_t bytes) {
-  for (std::size_t i = bytes; i-- > 0;) {
-    out->push_back(static_cast<char>(value >> (i * kBitsPerByte) & 0xFFU));
-  }
-}
-
-HttpResponse Answer(int code, const nlohmann::json& body) {
-  HttpResponse response;
-  response.code = code;
-  response.body = body.dump();
-  return response;
-}
-
 }  // namespace
 
 HttpResponse StoreTopics::Append(const PartitionName& to,
@@ -45,14 +25,16 @@
   Partition& partition = partitions_[to];
   if (!producer) return Store(&partition, body);
   ProducerState& known = partition.producers[producer->name];
-  if (producer->epoch < known.epoch) return Answer(kConflict, {{"Reason", "fenced"}});
+  if (producer->epoch < known.epoch) {
+    return JsonResponse(http_status::kConflict, {{"Reason", "fenced"}});
+  }
   if (producer->epoch > known.epoch) known = {producer->epoch, {}, {}};
   if (!producer->sequence) return Store(&partition, body);
   for (const auto& [sequence, response] : known.recent) {
     if (sequence == *producer->sequence) return response;
   }
   if (known.last && *producer->sequence != *known.last + 1) {
-    return Answer(kConflict, {{"Reason", "seq"}, {"Seq", *known.last + 1}});
+    return JsonResponse(http_status::kConflict, {{"Reason", "seq"}, {"Seq", *known.last + 1}});
   }
   known.last = producer->sequence;
   HttpResponse response = Store(&partition, body);
@@ -69,7 +51,7 @@
     StoreOne(partition, body.substr(0, size));
     body.remove_prefix(std::min<std::size_t>(size, body.size()));
   }
-  return Answer(kOk, {{"Offset", offset}, {"EndOffset", partition->end()}});
+  return JsonResponse(http_status::kOk, {{"Offset", offset}, {"EndOffset", partition->end()}});
 }
 
 void StoreTopics::StoreOne(Partition* partition, std::string_view content) {
@@ -91,8 +73,10 @@
   const auto found = partitions_.find(name);
   const Partition none;
   const Partition& partition = found == partitions_.end() ? none : found->second;
-  if (from < partition.first) return Answer(kGone, {{"FirstOffset", partition.first}});
-  response.code = kOk;
+  if (from < partition.first) {
+    return JsonResponse(http_status::kGone, {{"FirstOffset", partition.first}});
+  }
+  response.code = http_status::kOk;
   response.content_type = "application/octet-stream";
   AppendBigEndian(&response.body, partition.end(), kOffsetBytes);
   AppendBigEndian(&response.body, partition.first, kOffsetBytes);
@@ -113,7 +97,7 @@
   nlohmann::json items = nlohmann::json::array();
   const auto found = partitions_.find(name);
   if (found == partitions_.end()) {
-    return Answer(kOk, {{"items", items}, {"HasMore", false}, {"EndOffset", 0}});
+    return JsonResponse(http_status::kOk, {{"items", items}, {"HasMore", false}, {"EndOffset", 0}});
   }
   const Partition& partition = found->second;
   auto it = after.empty() ? partition.newest.begin() : partition.newest.upper_bound(after);
@@ -122,9 +106,9 @@
                      {"Value", absl::Base64Escape(it->second.value)},
                      {"Offset", it->second.offset}});
   }
-  return Answer(kOk, {{"items", items},
-                      {"HasMore", it != partition.newest.end()},
-                      {"EndOffset", partition.end()}});
+  return JsonResponse(http_status::kOk, {{"items", items},
+                                         {"HasMore", it != partition.newest.end()},
+                                         {"EndOffset", partition.end()}});
 }
 
 void StoreTopics::Put(const PartitionName& to, const std::string& key, const std::string& value) {
--- a/standin/task_runner.cc
+++ b/standin/task_runner.cc
@@ -3,26 +3,18 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "core/http_status.h"
+#include "standin/json_response.h"
+
 namespace wigeonlane {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kBadRequest = 400;
-constexpr int kNotFound = 404;
-constexpr int kConflict = 409;
 /// `MaxHoldMs` of the example in DEPLOY.md.
 constexpr std::chrono::milliseconds kLongestLease{10'000};
 constexpr std::int64_t kDefaultTaskMillis = 20;
 constexpr std::chrono::milliseconds kForever = std::chrono::hours(24);
 constexpr std::size_t kEndsPerAnswer = 500;
 
-HttpResponse Answer(int code, const nlohmann::json& body) {
-  HttpResponse response;
-  response.code = code;
-  response.body = body.dump();
-  return response;
-}
-
 }  // namespace
 
 void TaskRunner::BeginLife(Instant now, std::chrono::milliseconds born) {
@@ -39,15 +31,18 @@
 HttpResponse TaskRunner::Serve(const std::string& path, const std::string& body, Instant now) {
   Advance(now);
   const nlohmann::json order = nlohmann::json::parse(body, nullptr, false);
-  if (!order.is_object()) return Answer(kBadRequest, {{"Reason", "not an object"}});
+  if (!order.is_object()) {
+    return JsonResponse(http_status::kBadRequest, {{"Reason", "not an object"}});
+  }
   try {
     if (path == "/run-start") return Start(order, now);
     if (path == "/run-stop") return Stop(order, now);
     if (path == "/hold") return Look(order, now);
-    if (path != "/pace") return Answer(kNotFound, {});
-    return Fenced(order) ? Conflict("fence", now) : Answer(kOk, {{"ClockMs", Now(now).count()}});
+    if (path != "/pace") return JsonResponse(http_status::kNotFound, {});
+    return Fenced(order) ? Conflict("fence", now)
+                         : JsonResponse(http_status::kOk, {{"ClockMs", Now(now).count()}});
   } catch (const nlohmann::json::exception& error) {
-    return Answer(kBadRequest, {{"Reason", error.what()}});
+    return JsonResponse(http_status::kBadRequest, {{"Reason", error.what()}});
   }
 }
 
@@ -59,7 +54,7 @@
   Extend(order, now);
   const auto running = runs_.find(task);
   if (running != runs_.end() && running->second.run == run) {
-    return Answer(kOk, {{"ClockMs", Now(now).count()}});
+    return JsonResponse(http_status::kOk, {{"ClockMs", Now(now).count()}});
   }
   if (running != runs_.end() || run <= highest_[task]) return Conflict("old", now);
   const nlohmann::json fate = nlohmann::json::parse(order.value("Spec", ""), nullptr, false);
@@ -68,7 +63,7 @@
   const Clock takes = millis < 0 ? Clock(kForever) : Clock(millis);
   runs_[task] = {run, Now(now) + takes, ledger_->Failures(task) < fails};
   ledger_->Started(task);
-  return Answer(kOk, {{"ClockMs", Now(now).count()}});
+  return JsonResponse(http_status::kOk, {{"ClockMs", Now(now).count()}});
 }
 
 HttpResponse TaskRunner::Stop(const nlohmann::json& order, Instant now) {
@@ -81,7 +76,7 @@
     EndRun(task, running->second, "stopped");
     runs_.erase(running);
   }
-  return Answer(kOk, {{"ClockMs", Now(now).count()}});
+  return JsonResponse(http_status::kOk, {{"ClockMs", Now(now).count()}});
 }
 
 HttpResponse TaskRunner::Look(const nlohmann::json& order, Instant now) {
@@ -99,14 +94,14 @@
     const End& end = ends_[i];
     ended.push_back({end.number, end.task, end.run, end.how, ""});
   }
-  return Answer(kOk, {{"ClockMs", Now(now).count()},
-                      {"born", born_.count()},
-                      {"Running", running},
-                      {"Finished", ended}});
+  return JsonResponse(http_status::kOk, {{"ClockMs", Now(now).count()},
+                                         {"born", born_.count()},
+                                         {"Running", running},
+                                         {"Finished", ended}});
 }
 
 HttpResponse TaskRunner::Conflict(const char* reason, Instant now) const {
-  return Answer(kConflict, {{"ClockMs", Now(now).count()}, {"Reason", reason}});
+  return JsonResponse(http_status::kConflict, {{"ClockMs", Now(now).count()}, {"Reason", reason}});
 }
 
 bool TaskRunner::Fenced(const nlohmann::json& order) {
