cell tests: one scripted cell for the fixtures that answer at once

Cause: three fixtures of the owner of a cell (stall, reservation, admission) each wrote the same store, runners and clock.

Change: tests/cells/scripted_cell.h is their base; scenarios and bounds are as they were.

--- /dev/null
+++ b/tests/cells/scripted_cell.h
@@ -0,0 +1,139 @@
+/// One cell whose store and runners answer at once, for tests of single decisions.
+#ifndef WIGEONLANE_TESTS_CELLS_SCRIPTED_CELL_H_
+#define WIGEONLANE_TESTS_CELLS_SCRIPTED_CELL_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cells/cell.h"
+
+namespace wigeonlane {
+
+/// Base of fixtures. Nothing runs by itself: `Pass` advances the time and carries out what the cell
+/// wants; what it started, asked and stored is kept for the test to look at.
+class ScriptedCell {
+ protected:
+  static constexpr std::string_view kService = "press";
+  static constexpr std::chrono::milliseconds kBorn{1'000};
+
+  static std::string RunnerName(std::size_t runner) { return "runner-" + std::to_string(runner); }
+
+  /// An owner takes the cell over from what is stored, with so many equal runners listed.
+  void Begin(std::size_t runners, const Resources& capacity) {
+    cell_ = std::make_unique<Cell>(0, ++token_, CellOptions());
+    std::vector<StoreRecord> records;
+    for (const auto& [key, value] : stored_) records.push_back({key, value});
+    cell_->Restore(records, Time());
+    ListRunners(runners, capacity);
+  }
+
+  void ListRunners(std::size_t runners, const Resources& capacity) {
+    std::vector<RunnerListing> listings;
+    for (std::size_t i = 0; i < runners; ++i) {
+      RunnerListing listing;
+      listing.id = RunnerName(i);
+      listing.service = kService;
+      listing.capacity = capacity;
+      listing.born = kBorn;
+      listings.push_back(listing);
+    }
+    cell_->SetRunners(listings, Time());
+  }
+
+  CellTime Time() const { return {now_, UnixTime(Clock())}; }
+
+  /// What every runner's clock shows.
+  RunnerClock Clock() const {
+    return std::chrono::duration_cast<RunnerClock>(now_.time_since_epoch());
+  }
+
+  void Pass(std::chrono::milliseconds duration) {
+    constexpr std::chrono::milliseconds kStep{5};
+    for (std::chrono::milliseconds passed{0}; passed < duration; passed += kStep) {
+      now_ += kStep;
+      cell_->ExtendAuthority(now_ + CellOptions().authority);
+      cell_->Advance(Time());
+      TakeOutbox(cell_->TakeOutbox());
+    }
+  }
+
+  /// Hands in a job of one step.
+  void Submit(const StepSpec& step, QueuePolicy policy = {}) {
+    JobRecord record;
+    record.spec.steps = {step};
+    record.policy = std::move(policy);
+    record.policy.service = kService;
+    cell_->Submit(1, *JobId::Parse("00000000000000a1"), record, Time());
+  }
+
+  std::string IdOf(RunnerKey key) const {
+    return std::as_const(*cell_).FindRunner(key)->listing.id;
+  }
+
+  /// All that runs ends well.
+  void EndAll() {
+    for (auto& [runner, runs] : running_) {
+      for (const ListedRun& run : std::exchange(runs, {})) {
+        ended_[runner].push_back({++last_end_[runner], run.task, run.run, RunEnd::kDone, ""});
+      }
+    }
+  }
+
+  Instant now_{std::chrono::hours(1)};
+  TenureToken token_ = 0;
+  std::unique_ptr<Cell> cell_;
+  bool store_answers_ = true;
+  std::map<std::string, std::string> stored_;
+  std::map<std::string, std::vector<ListedRun>> running_;  ///< By runner id.
+  std::map<std::string, std::vector<ListedEnd>> ended_;    ///< Not told to be forgotten, likewise.
+  std::map<std::string, std::uint64_t> last_end_;
+  std::vector<StartOrder> starts_;
+  std::vector<AdviseOrder> questions_;
+  std::vector<LookOrder> looks_;
+
+ private:
+  void TakeOutbox(const Outbox& outbox) {
+    for (const AppendOrder& append : outbox.appends) Store(append);
+    for (const StartOrder& start : outbox.starts) {
+      starts_.push_back(start);
+      running_[IdOf(start.runner)].push_back({start.task, start.run, "", 100, 0});
+      cell_->StartAnswered(start, {OrderAnswer::kDone, {}}, Time());
+    }
+    for (const LookOrder& look : outbox.looks) Answer(look);
+    for (const AdviseOrder& question : outbox.questions) questions_.push_back(question);
+  }
+
+  void Store(const AppendOrder& append) {
+    if (!store_answers_) return;
+    for (const StoreRecord& record : append.records) {
+      if (record.value) {
+        stored_[record.key] = *record.value;
+      } else {
+        stored_.erase(record.key);
+      }
+    }
+    cell_->Committed(Time());
+  }
+
+  void Answer(const LookOrder& look) {
+    looks_.push_back(look);
+    const std::string id = IdOf(look.runner);
+    std::erase_if(ended_[id],
+                  [&](const ListedEnd& end) { return end.number <= look.forget_up_to; });
+    RunnerReport report;
+    report.born = kBorn;
+    report.clock = Clock();
+    report.running = running_[id];
+    report.ended = ended_[id];
+    cell_->Looked(look, OrderAnswer::kDone, report, Time());
+  }
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_TESTS_CELLS_SCRIPTED_CELL_H_
