cells: the cost of a decision no longer grows with all that waits

Cause: on each event the owner ranked every open job anew, looked at every runner for each step that found no room, and walked all jobs that had ended. Change: waiting jobs are kept in order and ranked again when something happens to them (WaitingJobs); a need that found no room is remembered and only runners that opened since are looked at (FullShapes); timed, unaccepted and ended jobs have lists of their own; a host takes in all answers of one turn of the loop before its cell decides.

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -80,8 +80,10 @@
   entry->accepted_at = time.now;
   entry->accept_batch = batch;
   entry->accept_calls.push_back(call);
+  if (entry->job.spec().timed()) timed_.insert(id);
   jobs_.emplace(id, std::move(entry));
   open_.insert(id);
+  unaccepted_.insert(id);
   effects_[batch].push_back({id, JobState::kQueued});
 }
 
@@ -97,9 +99,8 @@
 /// wait for its outcome.
 void Cell::RefuseUnsent() {
   std::vector<JobId> unsent;
-  for (const JobId& id : open_) {
-    const JobEntry& entry = *jobs_.at(id);
-    if (!entry.accepted && entry.accept_batch > commits_.last_batch()) unsent.push_back(id);
+  for (const JobId& id : unaccepted_) {
+    if (jobs_.at(id)->accept_batch > commits_.last_batch()) unsent.push_back(id);
   }
   for (const JobId& id : unsent) {
     const JobEntry& entry = *jobs_.at(id);
@@ -109,6 +110,8 @@
     commits_.Withdraw(ProgressKey(id));
     dirty_.erase(id);
     open_.erase(id);
+    timed_.erase(id);
+    unaccepted_.erase(id);
     jobs_.erase(id);
     // The same id may come again and be in a later batch.
     for (auto& [batch, effects] : effects_) {
@@ -156,6 +159,7 @@
   const BatchNumber batch = commits_.last_batch() + 1;
   const JobId& id = entry->job.id();
   dirty_.insert(id);
+  stale_.insert(id);
   auto& effects = effects_[batch];
   const auto same = std::find_if(effects.begin(), effects.end(), [&](const Effect& effect) {
     return effect.job == id && effect.state == entry->job.state();
@@ -204,6 +208,8 @@
   if (entry == nullptr) return;
   if (!entry->accepted) {
     entry->accepted = true;
+    unaccepted_.erase(effect.job);
+    stale_.insert(effect.job);
     ++counters_.accepted;
     NoteArrival(entry->job, time.now);
     LogDecision("accept", {{"job", std::string(effect.job.text())},
@@ -218,7 +224,9 @@
   entry->stored = effect.state;
   entry->ended_at = time.now;
   open_.erase(effect.job);
-  ended_.insert(effect.job);
+  timed_.erase(effect.job);
+  stale_.insert(effect.job);
+  ended_.push_back(effect.job);
   if (effect.state == JobState::kCompleted) ++counters_.completed;
   LogDecision("job_final", {{"job", std::string(effect.job.text())},
                             {"cell", Concat(number_)},
@@ -230,16 +238,14 @@
 }
 
 void Cell::ExpireFinished(CellTime time) {
-  for (auto it = ended_.begin(); it != ended_.end();) {
-    const JobEntry* entry = FindJob(*it);
-    if (entry != nullptr && time.now - entry->ended_at < options_.keep_finished) {
-      ++it;
-      continue;
-    }
-    commits_.Put(JobKey(*it), std::nullopt);
-    commits_.Put(ProgressKey(*it), std::nullopt);
-    jobs_.erase(*it);
-    it = ended_.erase(it);
+  while (!ended_.empty()) {
+    const JobId id = ended_.front();
+    const JobEntry* entry = FindJob(id);
+    if (entry != nullptr && time.now - entry->ended_at < options_.keep_finished) return;
+    commits_.Put(JobKey(id), std::nullopt);
+    commits_.Put(ProgressKey(id), std::nullopt);
+    jobs_.erase(id);
+    ended_.pop_front();
   }
 }
 
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -7,9 +7,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -24,8 +26,10 @@
 #include "jobs/job_progress.h"
 #include "scheduling/arrival_meter.h"
 #include "scheduling/estimate_model.h"
+#include "scheduling/full_shapes.h"
 #include "scheduling/job_order.h"
 #include "scheduling/step_admission.h"
+#include "scheduling/waiting_jobs.h"
 
 namespace wigeonlane {
 
@@ -126,6 +130,8 @@
   TenureToken token() const { return token_; }
   FenceToken FenceOf(RunnerKey key) const { return token_ * kLivesPerTenure + key; }
   const Runner* FindRunner(RunnerKey key) const;
+  /// The present life under an id; null when there is none.
+  const Runner* FindRunnerById(const std::string& id) const;
   const CellCounters& counters() const { return counters_; }
   std::size_t job_count() const { return jobs_.size(); }
 
@@ -165,11 +171,6 @@
     Instant until{};
   };
 
-  struct Candidate {
-    JobRank rank;
-    JobEntry* entry = nullptr;
-  };
-
   /// While a predecessor's record of its leases stands, none may be granted: should we fall silent,
   /// a third owner would rely on it.
   bool HasAuthority(Instant now) const {
@@ -220,10 +221,15 @@
   void Evacuate(Runner* runner, Instant now);
 
   void Schedule(CellTime time);
-  std::vector<Candidate> RankCandidates(Instant now);
+  void RankStale(Instant now);
+  void RankJobAgain(const JobId& id, Instant now);
+  void RankAllAgain() { stale_.insert(open_.begin(), open_.end()); }
+  void NoteSettled(RunnerKey key);
+  void NoteOpenings(Runner* runner, Instant now);
   void PlaceJob(JobEntry* entry, CellTime time);
   void PlaceStep(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time);
   void PlaceGang(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time);
+  bool NoRoomFor(const JobEntry& entry, const StepSpec& step) const;
   Runner* ChooseRunner(const JobEntry& entry, const TaskId& task, const std::string& rack,
                        Instant now);
   std::string RackOfStep(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step);
@@ -245,8 +251,10 @@
   bool deposed_ = false;
 
   std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs_;
-  std::unordered_set<JobId> open_;   ///< Jobs that are not final.
-  std::unordered_set<JobId> ended_;  ///< Final jobs, kept for callers for a while.
+  std::unordered_set<JobId> open_;        ///< Jobs that are not final.
+  std::unordered_set<JobId> timed_;       ///< Open jobs with due times.
+  std::unordered_set<JobId> unaccepted_;  ///< Open jobs that the store does not hold yet.
+  std::deque<JobId> ended_;  ///< Final jobs, kept for callers for a while; the first ended first.
   std::unordered_set<JobId> dirty_;  ///< Jobs whose progress goes into the next batch.
   CommitQueue commits_;
   std::map<BatchNumber, std::vector<Effect>> effects_;
@@ -257,6 +265,11 @@
   std::unordered_set<RunnerKey> unsettled_;  ///< Predecessor's runners not heard from yet.
   RunnerKey last_key_ = kNoRunner;
   bool schedule_wanted_ = false;
+  WaitingJobs waiting_;
+  std::unordered_set<JobId> stale_;  ///< Jobs to be ranked again.
+  Instant rank_all_at_{};
+  FullShapes full_shapes_;
+  std::set<RunnerKey> opened_;  ///< Runners that may have room since shapes were noted.
   /// When tasks that found no place are tried again. Reservations, pauses and tickets end without
   /// an event, and an idle cell hears of nothing.
   Instant schedule_again_ = Instant::max();
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -3,6 +3,7 @@
 #define WIGEONLANE_CELLS_CELL_HOST_H_
 
 #include <asio/io_context.hpp>
+#include <asio/post.hpp>
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <functional>
@@ -68,19 +69,19 @@
     listings_ = std::move(listings);
     if (cell_ == nullptr) return;
     cell_->SetRunners(listings_, Time());
-    Pump();
+    PumpSoon();
   }
 
   void Submit(const JobId& id, JobRecord&& record, Answered answered) {
     if (!active()) return answered({CallVerdict::kNotOwner});
     cell_->Submit(NewCall(std::move(answered)), id, std::move(record), Time());
-    Pump();
+    PumpSoon();
   }
 
   void Cancel(const JobId& id, Answered answered) {
     if (!active()) return answered({CallVerdict::kNotOwner});
     cell_->Cancel(NewCall(std::move(answered)), id, Time());
-    Pump();
+    PumpSoon();
   }
 
   CallAnswer Show(const JobId& id) const {
@@ -98,14 +99,14 @@
   CallAnswer ReserveRunner(const std::string& runner) {
     if (!active()) return {CallVerdict::kNotOwner};
     CallAnswer answer = cell_->ReserveRunner(runner, Time());
-    Pump();
+    PumpSoon();
     return answer;
   }
 
   CallAnswer RunnerGone(const std::string& runner) {
     if (!active()) return {CallVerdict::kNotOwner};
     cell_->RunnerGone(runner, Time());
-    Pump();
+    PumpSoon();
     return {CallVerdict::kReady};
   }
 
@@ -181,7 +182,16 @@
     Pump();
   }
 
+  /// All that is at hand is taken in before the cell decides, so that many answers cost one round.
+  void PumpSoon() {
+    if (std::exchange(pump_posted_, true)) return;
+    asio::post(timer_.get_executor(), [this, alive = std::weak_ptr<int>(alive_)] {
+      if (!alive.expired()) Pump();
+    });
+  }
+
   void Pump() {
+    pump_posted_ = false;
     if (cell_ == nullptr) return;
     cell_->Advance(Time());
     const Outbox outbox = cell_->TakeOutbox();
@@ -223,7 +233,7 @@
     switch (result) {
       case AppendResult::kStored:
         cell_->Committed(Time());
-        return Pump();
+        return PumpSoon();
       case AppendResult::kFenced:
       case AppendResult::kInvalid:
         LogWarning("append_fenced", {{"cell", Concat(number_)},
@@ -250,7 +260,7 @@
     runners_->Start(*runner, cell_->FenceOf(order.runner), order, options_.order_timeout,
                     Guarded<OrderOutcome>([this, order](OrderOutcome outcome) {
                       cell_->StartAnswered(order, outcome, Time());
-                      Pump();
+                      PumpSoon();
                     }));
   }
 
@@ -260,7 +270,7 @@
     runners_->Stop(*runner, cell_->FenceOf(order.runner), order, options_.order_timeout,
                    Guarded<OrderOutcome>([this, order](OrderOutcome outcome) {
                      cell_->StopAnswered(order, outcome, Time());
-                     Pump();
+                     PumpSoon();
                    }));
   }
 
@@ -270,7 +280,7 @@
     runners_->Pace(*runner, cell_->FenceOf(order.runner), order, options_.order_timeout,
                    Guarded<OrderOutcome>([this, order](OrderOutcome outcome) {
                      if (outcome.answer == OrderAnswer::kFenced) cell_->FencedBy(order.runner);
-                     Pump();
+                     PumpSoon();
                    }));
   }
 
@@ -283,7 +293,7 @@
         [this, alive, order](OrderAnswer answer, const std::optional<RunnerReport>& report) {
           if (alive.expired()) return;
           cell_->Looked(order, answer, report, Time());
-          Pump();
+          PumpSoon();
         });
   }
 
@@ -291,7 +301,7 @@
     runners_->Advise(
         order, Guarded<absl::StatusOr<Advice>>([this, order](const absl::StatusOr<Advice>& advice) {
           cell_->Advised(order, advice, Time());
-          Pump();
+          PumpSoon();
         }));
   }
 
@@ -340,6 +350,7 @@
   AppendOrder append_;
   std::unordered_map<CallNumber, Answered> calls_;
   CallNumber last_call_ = 0;
+  bool pump_posted_ = false;
   std::shared_ptr<int> alive_ = std::make_shared<int>(0);
 };
 
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -44,6 +44,7 @@
   for (const StoreRecord& record : records) {
     if (record.value && record.key == kHandoverKey) RestoreHandover(*record.value, time);
   }
+  RankAllAgain();
   schedule_wanted_ = true;
   LogDecision("cell_restored", {{"cell", Concat(number_)},
                                 {"token", Concat(token_)},
@@ -65,6 +66,7 @@
   entry->accepted = true;
   entry->inherited = true;
   entry->accepted_at = time.now - std::max<Duration>(time.wall - accepted, Duration::zero());
+  if (entry->job.spec().timed()) timed_.insert(*id);
   jobs_.insert_or_assign(*id, std::move(entry));
   open_.insert(*id);
 }
@@ -80,7 +82,8 @@
   entry->stored = entry->job.state();
   entry->ended_at = time.now;
   open_.erase(*id);
-  ended_.insert(*id);
+  timed_.erase(*id);
+  ended_.push_back(*id);
 }
 
 void Cell::RestoreRoster(const std::string& value, CellTime time) {
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -20,6 +20,11 @@
   return found == runners_.end() ? nullptr : &found->second;
 }
 
+const Runner* Cell::FindRunnerById(const std::string& id) const {
+  const auto found = key_by_id_.find(id);
+  return found == key_by_id_.end() ? nullptr : FindRunner(found->second);
+}
+
 Runner* Cell::AddRunner(const RunnerListing& listing, Instant now) {
   const RunnerKey key = ++last_key_;
   Runner& runner = runners_[key];
@@ -54,6 +59,7 @@
 void Cell::SetRunners(const std::vector<RunnerListing>& listings, CellTime time) {
   for (auto& [key, runner] : runners_) runner.listed = false;
   for (const RunnerListing& listing : listings) UpdateListing(listing, time);
+  full_shapes_.Clear();
   schedule_wanted_ = true;
 }
 
@@ -124,12 +130,28 @@
   }
   const auto by_id = key_by_id_.find(runner->listing.id);
   if (by_id != key_by_id_.end() && by_id->second == key) key_by_id_.erase(by_id);
-  unsettled_.erase(key);
+  NoteSettled(key);
+  opened_.erase(key);
   runners_.erase(key);
   StoreRoster();
   schedule_wanted_ = true;
 }
 
+/// The last of a predecessor's runners to be heard from lets the jobs it may have started go on.
+void Cell::NoteSettled(RunnerKey key) {
+  if (unsettled_.erase(key) > 0 && unsettled_.empty()) RankAllAgain();
+}
+
+/// Times pass without an event: a pause of a runner ends and steps that found no room fit again.
+void Cell::NoteOpenings(Runner* runner, Instant now) {
+  const bool open = runner->IsOpen(now);
+  if (open && !runner->open) {
+    opened_.insert(runner->key);
+    schedule_wanted_ = true;
+  }
+  runner->open = open;
+}
+
 /// Writes the runners that a successor must hear from before it may assume their tasks gone.
 void Cell::StoreRoster() {
   std::vector<RunnerListing> roster;
@@ -153,7 +175,8 @@
       lost.push_back(key);
       continue;
     }
-    AdvanceStops(&runner, time);
+    NoteOpenings(&runner, time.now);
+    if (runner.stopping_runs > 0) AdvanceStops(&runner, time);
     MaybeLook(&runner, time);
   }
   for (const RunnerKey key : lost) LoseRunner(key, "silent until its lease ended", time);
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -28,6 +28,7 @@
   RemoveRun(runner, task);
   runner->used += run.load;
   if (run.lasting) ++runner->lasting_runs;
+  if (run.phase == RunPhase::kStopping) ++runner->stopping_runs;
   runner->runs.emplace(task, run);
 }
 
@@ -36,7 +37,9 @@
   if (found == runner->runs.end()) return;
   runner->used -= found->second.load;
   if (found->second.lasting) --runner->lasting_runs;
+  if (found->second.phase == RunPhase::kStopping) --runner->stopping_runs;
   runner->runs.erase(found);
+  opened_.insert(runner->key);
 }
 
 /// The run is over for sure: its room is free and its task may be placed again.
@@ -53,6 +56,7 @@
                          {"report_age_ms", Concat(MillisOf(time.now - runner->clock_at))}});
   }
   entry->job.Unplace(id);
+  stale_.insert(id.job);
   schedule_wanted_ = true;
 }
 
@@ -60,7 +64,9 @@
   const auto found = runner->runs.find(task);
   if (found == runner->runs.end()) return;
   LiveRun& run = found->second;
-  run.phase = RunPhase::kStopping;
+  if (std::exchange(run.phase, RunPhase::kStopping) != RunPhase::kStopping) {
+    ++runner->stopping_runs;
+  }
   if (run.stop_under_way) return;
   run.stop_under_way = true;
   run.stop_confirmed = false;
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -13,6 +13,8 @@
 
 /// Run numbers of one tenure begin at its token times this, above all that a predecessor used.
 constexpr RunNumber kRunsPerTenure = 1'000;
+/// All waiting jobs are ranked again this often: estimates move by a twentieth with each task.
+constexpr std::chrono::milliseconds kRankAll{1'000};
 
 }  // namespace
 
@@ -21,42 +23,60 @@
   return std::max(base, last) + 1;
 }
 
-std::vector<Cell::Candidate> Cell::RankCandidates(Instant now) {
-  std::vector<Candidate> candidates;
-  for (const JobId& id : open_) {
-    JobEntry* entry = FindJob(id);
-    const Job& job = entry->job;
-    if (!entry->accepted || IsFinal(job.state()) || job.ReadyTasks() == 0) continue;
-    if (entry->inherited && !settled()) continue;
-    const double ratio = estimates_.Ratio(job.policy().name);
-    JobDemand demand;
-    demand.priority = job.policy().priority;
-    demand.long_running = job.spec().steps.front().long_running;
-    demand.accepted = entry->accepted_at;
-    demand.objective = Objective(job, ratio);
-    demand.remaining_chain = RemainingChain(job, ratio);
-    demand.remaining_work = RemainingCoreSeconds(job, ratio);
-    candidates.push_back({RankJob(demand, now), entry});
+/// Ranks the jobs again that something has happened to, and all of them now and then, because the
+/// estimates of their queues change.
+void Cell::RankStale(Instant now) {
+  if (now >= rank_all_at_) {
+    RankAllAgain();
+    rank_all_at_ = now + kRankAll;
   }
-  std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
-    return std::pair(a.rank, a.entry->job.id()) < std::pair(b.rank, b.entry->job.id());
-  });
-  return candidates;
+  for (const JobId& id : waiting_.Outdated(now)) stale_.insert(id);
+  for (const JobId& id : std::exchange(stale_, {})) RankJobAgain(id, now);
+}
+
+void Cell::RankJobAgain(const JobId& id, Instant now) {
+  const JobEntry* entry = FindJob(id);
+  const bool waits = entry != nullptr && entry->accepted && !IsFinal(entry->job.state()) &&
+                     (!entry->inherited || settled()) && entry->job.ReadyTasks() > 0;
+  if (!waits) return waiting_.Remove(id);
+  const Job& job = entry->job;
+  const double ratio = estimates_.Ratio(job.policy().name);
+  JobDemand demand;
+  demand.priority = job.policy().priority;
+  demand.long_running = job.spec().steps.front().long_running;
+  demand.accepted = entry->accepted_at;
+  demand.objective = Objective(job, ratio);
+  demand.remaining_chain = RemainingChain(job, ratio);
+  demand.remaining_work = RemainingCoreSeconds(job, ratio);
+  waiting_.Set(id, RankJob(demand, now), LateAt(demand, now));
 }
 
 void Cell::Schedule(CellTime time) {
-  for (const JobId& id : open_) {
-    JobEntry* entry = FindJob(id);
-    if (entry->job.spec().timed() && entry->job.Materialize(time.wall)) schedule_wanted_ = true;
+  for (const JobId& id : timed_) {
+    if (!FindJob(id)->job.Materialize(time.wall)) continue;
+    stale_.insert(id);
+    schedule_wanted_ = true;
+  }
+  if (time.now >= schedule_again_) {
+    full_shapes_.Clear();
+    schedule_wanted_ = true;
+    schedule_again_ = Instant::max();
   }
-  schedule_wanted_ = schedule_wanted_ || time.now >= schedule_again_;
   if (!schedule_wanted_ || !HasAuthority(time.now)) return;
   schedule_wanted_ = false;
-  schedule_again_ = Instant::max();
-  for (const Candidate& candidate : RankCandidates(time.now)) {
-    PlaceJob(candidate.entry, time);
-    if (candidate.entry->job.ReadyTasks() == 0) continue;
-    schedule_again_ = time.now + options_.schedule_retry;
+  RankStale(time.now);
+  std::vector<JobId> placed;
+  for (const auto& [rank, id] : waiting_.in_order()) {
+    JobEntry* entry = FindJob(id);
+    PlaceJob(entry, time);
+    if (entry->job.ReadyTasks() == 0) placed.push_back(id);
+  }
+  for (const JobId& id : placed) waiting_.Remove(id);
+  opened_.clear();
+  if (waiting_.empty()) {
+    schedule_again_ = Instant::max();
+  } else {
+    schedule_again_ = std::min(schedule_again_, time.now + options_.schedule_retry);
   }
 }
 
@@ -77,6 +97,9 @@
 }
 
 void Cell::PlaceStep(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time) {
+  if (NoRoomFor(*entry, entry->job.spec().steps[step])) {
+    return AskAdvisor(entry, occurrence, step, time.now);
+  }
   const auto& tasks = entry->job.occurrences()[occurrence].steps[step].tasks;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     if (tasks[index].phase != TaskPhase::kWaiting || time.now < tasks[index].not_before) continue;
@@ -109,6 +132,7 @@
   }
   for (const auto& [id, runner] : chosen) runner->used -= load;
   if (chosen.size() != progress.tasks.size()) {
+    full_shapes_.Clear();  // What the members would have taken is free.
     return AskAdvisor(entry, occurrence, step, time.now);
   }
   const RunNumber run = NextRun(*entry, last);
@@ -135,29 +159,39 @@
       }));
 }
 
+/// Whether no runner that has not opened since can take a task of the step, nor any that has.
+bool Cell::NoRoomFor(const JobEntry& entry, const StepSpec& step) const {
+  return opened_.empty() &&
+         full_shapes_.Covers(entry.job.policy().service, step.required_label, step.Load());
+}
+
 Runner* Cell::ChooseRunner(const JobEntry& entry, const TaskId& id, const std::string& rack,
                            Instant now) {
   const StepSpec& step = entry.job.spec().steps[id.step];
   const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
+  const std::string& service = entry.job.policy().service;
   const Resources load = step.Load();
   const bool advised = entry.job.policy().advice.has_value();
   const StepAdmission* admission = advised ? FindAdmission(entry, id) : nullptr;
   Runner* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
-  for (auto& [key, runner] : runners_) {
-    if (runner.listing.service != entry.job.policy().service) continue;
-    if (!runner.AcceptsStarts(now) || !runner.Free().Holds(load)) continue;
-    if (!runner.health.Admits(now) || runner.runs.contains(id)) continue;
-    if (task.failed_on == key && runners_.size() > 1) continue;
-    if (step.most_per_runner > 0 && RunsOfStep(runner, id) >= step.most_per_runner) continue;
-    if (!runner.HasLabel(step.required_label)) continue;
-    if (advised && (admission == nullptr || admission->TicketFor(key, now) == nullptr)) continue;
+  bool any_room = false;
+  const auto consider = [&](Runner& runner) {
+    if (runner.listing.service != service || !runner.Free().Holds(load)) return;
+    if (!runner.IsOpen(now) || !runner.HasLabel(step.required_label)) return;
+    any_room = true;
+    if (runner.runs.contains(id)) return;
+    if (task.failed_on == runner.key && runners_.size() > 1) return;
+    const std::uint32_t runs_of_step = RunsOfStep(runner, id);
+    if (step.most_per_runner > 0 && runs_of_step >= step.most_per_runner) return;
+    if (advised && (admission == nullptr || admission->TicketFor(runner.key, now) == nullptr)) {
+      return;
+    }
     PlacementView view;
     view.capacity = runner.listing.capacity;
     view.free = runner.Free();
     view.far_from_data = !step.preferred_rack.empty() && runner.listing.rack != step.preferred_rack;
-    view.blocks_upkeep =
-        step.long_running && RunsOfStep(runner, id) >= std::max(step.may_be_missing, 1U);
+    view.blocks_upkeep = step.long_running && runs_of_step >= std::max(step.may_be_missing, 1U);
     view.lasting = step.long_running;
     view.hosts_lasting = runner.lasting_runs > 0;
     view.off_rack = !rack.empty() && runner.listing.rack != rack;
@@ -166,7 +200,13 @@
       best_cost = cost;
       best = &runner;
     }
+  };
+  if (full_shapes_.Covers(service, step.required_label, load)) {
+    for (const RunnerKey key : opened_) consider(runners_.at(key));
+    return best;
   }
+  for (auto& [key, runner] : runners_) consider(runner);
+  if (!any_room) full_shapes_.Note(service, step.required_label, load);
   return best;
 }
 
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -67,8 +67,10 @@
 
   Resources used;
   std::unordered_map<TaskId, LiveRun> runs;
-  std::uint32_t lasting_runs = 0;  ///< Of `runs`.
-  Instant blocked_until{};         ///< No start before this: it had no room or was not well.
+  std::uint32_t lasting_runs = 0;   ///< Of `runs`.
+  std::uint32_t stopping_runs = 0;  ///< Of `runs`.
+  bool open = false;                ///< It took starts when it was looked at last.
+  Instant blocked_until{};          ///< No start before this: it had no room or was not well.
   RunnerHealth health;
   PaceControl pace;
   bool watched = false;      ///< Fillers run beside serving tasks, or a lasting task comes up.
@@ -104,6 +106,9 @@
     return claimed && rostered && listed && !listing.draining && now >= reserved_until &&
            looks_failed == 0 && now >= blocked_until;
   }
+
+  /// Whether it takes another start, if that fits.
+  bool IsOpen(Instant now) const { return AcceptsStarts(now) && health.Admits(now); }
 };
 
 }  // namespace wigeonlane
--- a/scheduling/job_order.cc
+++ b/scheduling/job_order.cc
@@ -47,6 +47,11 @@
   return {kInTime, demand.remaining_work};
 }
 
+Instant LateAt(const JobDemand& demand, Instant now) {
+  const Instant late_at = demand.accepted + demand.objective - demand.remaining_chain;
+  return demand.long_running || late_at < now ? Instant::max() : late_at;
+}
+
 std::chrono::milliseconds RemainingChain(const Job& job, double estimate_ratio) {
   return LongestChain(job, estimate_ratio, true);
 }
--- a/scheduling/job_order.h
+++ b/scheduling/job_order.h
@@ -36,6 +36,9 @@
 
 JobRank RankJob(const JobDemand& demand, Instant now);
 
+/// Until when the rank holds if the demand stays as it is; the far future when for good.
+Instant LateAt(const JobDemand& demand, Instant now);
+
 /// Longest chain of estimated work in the steps that are not complete.
 std::chrono::milliseconds RemainingChain(const Job& job, double estimate_ratio);
 
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -84,6 +84,18 @@
     }
   }
 
+  /// The runner answers a look at once, and the cell decides what follows.
+  void Report(const std::string& runner) {
+    LookOrder look;
+    look.runner = cell_->FindRunnerById(runner)->key;
+    look.forget_up_to = last_end_[runner] - 1;
+    now_ += std::chrono::milliseconds(1);
+    cell_->ExtendAuthority(now_ + CellOptions().authority);
+    Answer(look);
+    cell_->Advance(Time());
+    TakeOutbox(cell_->TakeOutbox());
+  }
+
   Instant now_{std::chrono::hours(1)};
   TenureToken token_ = 0;
   std::unique_ptr<Cell> cell_;
