cells: instances below a quarter core stand by while larger ones own the cells

Change: a member's name carries its processor share; an instance below 250 millicores joins the group when a cell has no owner or the larger owners have less than 120 millicores a cell, and hands its cells over when they have had half as much again for 3 s (NeedOfOwner, Ownership).

--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -16,6 +17,7 @@
 #include <vector>
 
 #include "cells/job_store.h"
+#include "cells/owner_need.h"
 #include "core/clock.h"
 #include "core/logging.h"
 #include "core/text.h"
@@ -34,7 +36,8 @@
 
 struct OwnershipOptions {
   GroupMember member;
-  std::uint32_t cells = 0;  ///< Partitions of the topic.
+  std::uint32_t cells = 0;            ///< Partitions of the topic.
+  MilliCores capacity = kAlwaysOwns;  ///< Of this instance.
 };
 
 /// Renews the membership, reports cells gained and lost, and keeps the list of owners.
@@ -51,11 +54,15 @@
 
   /// Joins the group and goes on renewing. A former life of this process may still be listed as
   /// the member: it leaves first, so that our tenures have a generation of their own.
-  void Start() { Rejoin(); }
+  void Start() {
+    if (options_.capacity >= kAlwaysOwns) return Rejoin();
+    standby_ = true;
+    StandByFor(kFirstStandby);
+  }
 
   /// Renews at once, so that changes are seen and released cells are dealt out.
   void RenewNow() {
-    if (leaving_) return;
+    if (leaving_ || standby_) return;
     renew_again_ = renewing_;
     if (!renewing_) Renew();
   }
@@ -104,17 +111,13 @@
     if (std::exchange(refreshing_, true)) return;
     store_->Owners(options_.member.group, [this](absl::StatusOr<std::vector<PartOwner>> owners) {
       refreshing_ = false;
-      if (!owners.ok()) return;
-      std::map<CellNumber, std::string> listed;
-      for (const PartOwner& owner : *owners) listed[owner.part] = owner.member;
-      if (listed == owners_) return;
-      owners_ = std::move(listed);
-      std::string text;
-      for (const auto& [cell, member] : owners_) AppendTo(&text, " ", cell, ":", member);
-      LogInfo("owners", {{"generation", Concat(generation_)}, {"owners", text}});
+      if (owners.ok()) TakeOwners(*owners);
     });
   }
 
+  /// Whether this instance leaves owning to larger ones for now.
+  bool standby() const { return standby_; }
+
   /// The tenure under `token` ended although the store may still deal the cell to us: it is gained
   /// again, under a higher token, with the next generation.
   void Reclaim(CellNumber cell, TenureToken token) {
@@ -137,6 +140,66 @@
   /// Renewals in one time to live, so that two may be lost.
   static constexpr int kRenewalsPerTtl = 4;
   static constexpr std::chrono::milliseconds kRejoinRetry{200};
+  /// Instances start within 0.3 s of each other; the larger ones have joined by then.
+  static constexpr std::chrono::milliseconds kFirstStandby{1'500};
+  /// Between looks at the owners while standing by; a call that finds no owner looks as well.
+  static constexpr std::chrono::milliseconds kStandbyPoll{500};
+  /// Larger instances must have been enough for this long before a smaller one stands down.
+  static constexpr std::chrono::milliseconds kStandDownAfter{3'000};
+
+  void TakeOwners(const std::vector<PartOwner>& owners) {
+    std::map<CellNumber, std::string> listed;
+    for (const PartOwner& owner : owners) listed[owner.part] = owner.member;
+    if (listed == owners_) return;
+    owners_ = std::move(listed);
+    std::string text;
+    for (const auto& [cell, member] : owners_) AppendTo(&text, " ", cell, ":", member);
+    LogInfo("owners", {{"generation", Concat(generation_)}, {"owners", text}});
+  }
+
+  OwnerNeed Need() const { return NeedOfOwner(options_.capacity, owners_, options_.cells); }
+
+  void StandByFor(std::chrono::milliseconds pause) {
+    timer_.expires_after(pause);
+    timer_.async_wait([this](asio::error_code error) {
+      if (error || leaving_) return;
+      store_->Owners(options_.member.group, [this](absl::StatusOr<std::vector<PartOwner>> owners) {
+        if (leaving_) return;
+        if (owners.ok()) TakeOwners(*owners);
+        // A cell may be without an owner for a moment while it changes hands.
+        const bool needed = owners.ok() && Need() == OwnerNeed::kOwner;
+        const bool before = std::exchange(needed_before_, needed);
+        if (!needed || (!before && !owners_.empty())) return StandByFor(kStandbyPoll);
+        LogDecision("step_in",
+                    {{"owned", Concat(owners_.size())}, {"capacity", Concat(options_.capacity)}});
+        standby_ = false;
+        enough_since_.reset();
+        Rejoin();
+      });
+    });
+  }
+
+  /// Leaves owning to the larger instances once they have been enough for a while.
+  void MaybeStandDown() {
+    if (Need() != OwnerNeed::kNone) return enough_since_.reset();
+    if (!enough_since_) enough_since_ = clock_->Now();
+    if (clock_->Now() - *enough_since_ < kStandDownAfter) return;
+    LogDecision("stand_down",
+                {{"cells", Concat(held_.size())}, {"capacity", Concat(options_.capacity)}});
+    standby_ = true;
+    needed_before_ = false;
+    reclaim_.clear();
+    const auto cells = std::exchange(held_, {});
+    auto left = std::make_shared<std::size_t>(cells.size() + 1);
+    const std::function<void()> released = [this, left] {
+      if (--*left > 0 || leaving_) return;
+      store_->Leave(options_.member.group, options_.member.member, [this](const absl::Status&) {
+        if (!leaving_) StandByFor(kStandbyPoll);  // Not told: the membership ends by itself.
+      });
+    };
+    for (const CellNumber cell : cells) events_.lost(cell, released);
+    released();
+  }
 
   void Rejoin() {
     renewing_ = true;
@@ -157,12 +220,13 @@
     const Instant sent = clock_->Now();
     store_->Join(options_.member, generation_, [this, sent](absl::StatusOr<GroupView> view) {
       renewing_ = false;
-      if (leaving_) return;
+      if (leaving_ || standby_) return;
       if (view.ok()) {
         Take(*view, sent);
       } else if (std::exchange(reachable_, false)) {
         LogWarning("store_lost", {{"why", MessageOf(view.status())}});
       }
+      if (standby_) return;
       if (std::exchange(rejoin_wanted_, false)) return Rejoin();
       if (std::exchange(renew_again_, false)) return Renew();
       Schedule();
@@ -172,7 +236,7 @@
   void Schedule() {
     timer_.expires_after(pause());
     timer_.async_wait([this](asio::error_code error) {
-      if (!error && !renewing_ && !leaving_) Renew();
+      if (!error && !renewing_ && !leaving_ && !standby_) Renew();
     });
   }
 
@@ -212,6 +276,7 @@
       }
     }
     if (changed || owners_.size() < options_.cells) RefreshOwners();
+    MaybeStandDown();
   }
 
   Store* store_;
@@ -231,6 +296,9 @@
   bool refreshing_ = false;
   bool reachable_ = true;
   bool leaving_ = false;
+  bool standby_ = false;
+  bool needed_before_ = false;           ///< At the last look while standing by.
+  std::optional<Instant> enough_since_;  ///< Larger instances have been enough since.
 };
 
 }  // namespace wigeonlane
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -13,7 +13,6 @@
 namespace {
 
 constexpr std::string_view kGroup = "wigeonlane";
-constexpr char kMemberSeparator = '|';
 constexpr std::string_view kConfigKey = "config";
 constexpr std::string_view kWavePrefix = "wave/";
 /// Whoever owns this cell orders the machines as well.
@@ -35,8 +34,9 @@
 OwnershipOptions GroupOptions(const PlatformSettings& settings) {
   OwnershipOptions options;
   options.member.group = kGroup;
+  options.capacity = settings.capacity;
   options.member.member =
-      Concat(settings.instance, std::string(1, kMemberSeparator), settings.peers.ToString());
+      MemberName{settings.instance, settings.peers, settings.capacity}.ToString();
   options.member.topic = kJobsTopic;
   options.member.ttl = settings.membership_ttl;
   options.cells = settings.partitions;
@@ -226,8 +226,8 @@
 std::optional<Endpoint> JobInstance::OwnerAddress(CellNumber cell) const {
   const auto member = ownership_.OwnerOf(cell);
   if (!member) return {};
-  const auto endpoint = ParseEndpoint(member->substr(member->find(kMemberSeparator) + 1));
-  return endpoint.ok() ? std::optional(*endpoint) : std::nullopt;
+  const auto name = MemberName::Parse(*member);
+  return name ? std::optional(name->peers) : std::nullopt;
 }
 
 void JobInstance::Serve(CellCall call, std::function<void(CallAnswer)> answered) {
--- a/tests/cells/ownership_test.cc
+++ b/tests/cells/ownership_test.cc
@@ -29,9 +29,10 @@
   }
   void Owners(const std::string&,
               const std::function<void(absl::StatusOr<std::vector<PartOwner>>)>& done) {
-    done(std::vector<PartOwner>());
+    done(owners);
   }
 
+  std::vector<PartOwner> owners;
   std::deque<GroupView> views;
   int leaves = 0;
   std::vector<std::string> left;
@@ -41,18 +42,39 @@
  protected:
   static constexpr std::uint32_t kCells = 8;
 
-  OwnershipTest() {
+  OwnershipTest() { Create(kAlwaysOwns); }
+
+  void Create(MilliCores capacity) {
     OwnershipOptions options;
     options.member = {"group", "member", "topic", milliseconds(2'000)};
     options.cells = kCells;
+    options.capacity = capacity;
     ownership_.emplace(
         &io_, &group_, &clock_, options,
         OwnershipEvents{
             [this](CellNumber cell, TenureToken token) { gained_.emplace_back(cell, token); },
-            [this](CellNumber cell, const std::function<void()>&) { lost_.push_back(cell); },
+            [this](CellNumber cell, const std::function<void()>& released) {
+              lost_.push_back(cell);
+              released();
+            },
             [](Instant) {}});
   }
 
+  /// All cells are owned, by so many instances of that capacity.
+  void SetOwners(std::size_t members, MilliCores capacity) {
+    group_.owners.clear();
+    for (std::uint32_t cell = 0; cell < kCells; ++cell) {
+      const MemberName name{Concat("i", cell % members), {"10.0.0.1", 7'060}, capacity};
+      group_.owners.push_back({cell, name.ToString()});
+    }
+  }
+
+  /// Lets the timers run that are due within `duration` of real time.
+  void RunFor(milliseconds duration) {
+    io_.restart();
+    io_.run_for(duration);
+  }
+
   asio::io_context io_;
   ScriptedGroup group_;
   ManualClock clock_;
@@ -139,5 +161,85 @@
   CHECK(ownership_->pause() == milliseconds(500));
 }
 
+TEST_CASE_METHOD(OwnershipTest, "Start_SmallInstanceAmongEnoughLargeOnes_StandsBy") {
+  Create(120);
+  SetOwners(4, 500);
+  group_.views = {{3, {0}}};
+  ownership_->Start();
+  RunFor(milliseconds(2'200));
+  CHECK(ownership_->standby());
+  CHECK(gained_.empty());
+}
+
+TEST_CASE_METHOD(OwnershipTest, "StandBy_NobodyOwns_StepsInAtTheFirstLook") {
+  Create(120);
+  group_.views = {{3, {0}}};
+  ownership_->Start();
+  RunFor(milliseconds(1'700));
+  CHECK_FALSE(ownership_->standby());
+  CHECK(gained_.size() == 1);
+}
+
+TEST_CASE_METHOD(OwnershipTest, "StandBy_LargeOnesAreLost_StepsInAtTheSecondLook") {
+  Create(120);
+  SetOwners(4, 500);
+  ownership_->Start();
+  RunFor(milliseconds(1'700));
+  REQUIRE(ownership_->standby());
+  group_.views = {{3, {0}}};
+  SetOwners(1, 500);
+  RunFor(milliseconds(400));
+  CHECK(ownership_->standby());  // The owner list may be of a moment.
+  RunFor(milliseconds(600));
+  CHECK_FALSE(ownership_->standby());
+}
+
+TEST_CASE_METHOD(OwnershipTest, "Renewal_LargeOnesHaveBeenEnoughForAWhile_HandsItsCellsOver") {
+  Create(120);
+  group_.views = {{3, {0, 1}}, {4, {0, 1}}, {4, {0, 1}}, {4, {0, 1}}};
+  ownership_->Start();
+  RunFor(milliseconds(1'700));
+  REQUIRE(gained_.size() == 2);
+  SetOwners(4, 500);
+  for (int renewal = 0; renewal < 2; ++renewal) {
+    ownership_->RenewNow();
+    CHECK_FALSE(ownership_->standby());
+    clock_.Advance(milliseconds(1'600));
+  }
+  ownership_->RenewNow();
+  CHECK(ownership_->standby());
+  CHECK(lost_ == std::vector<CellNumber>{0, 1});
+  CHECK(group_.left.back() == "member");
+}
+
+TEST_CASE("OwnerNeed_BySizeOfTheOthers_FollowsWhatTheCellsNeed") {
+  std::map<CellNumber, std::string> owners;
+  for (CellNumber cell = 0; cell < 8; ++cell) {
+    owners[cell] = MemberName{Concat("i", cell % 4), {"10.0.0.1", 7'060}, 500}.ToString();
+  }
+  CHECK(NeedOfOwner(120, owners, 8) == OwnerNeed::kNone);   // 2.0 cores for 0.96.
+  CHECK(NeedOfOwner(250, owners, 8) == OwnerNeed::kOwner);  // Always.
+  CHECK(NeedOfOwner(120, owners, 9) == OwnerNeed::kOwner);  // One cell has no owner.
+  for (auto& [cell, member] : owners) {
+    member = MemberName{Concat("i", cell % 2), {"10.0.0.1", 7'060}, 500}.ToString();
+  }
+  CHECK(NeedOfOwner(120, owners, 8) == OwnerNeed::kEither);  // 1.0 core for 0.96.
+  for (auto& [cell, member] : owners) {
+    member = MemberName{"i0", {"10.0.0.1", 7'060}, 500}.ToString();
+  }
+  CHECK(NeedOfOwner(120, owners, 8) == OwnerNeed::kOwner);
+}
+
+TEST_CASE("MemberName_RoundTripAndOlderForms_AreRead") {
+  const MemberName name{"front-1", {"10.1.0.9", 7'060}, 500};
+  const auto parsed = MemberName::Parse(name.ToString());
+  REQUIRE(parsed);
+  CHECK(parsed->peers == name.peers);
+  CHECK(parsed->capacity == 500);
+  CHECK(MemberName::Parse("front-1|10.1.0.9:7060")->capacity == 0);
+  CHECK_FALSE(MemberName::Parse("front-1"));
+  CHECK_FALSE(MemberName::Parse("front-1|10.1.0.9:7060|many"));
+}
+
 }  // namespace
 }  // namespace wigeonlane
