cells: a record in the store divides services among cells

Cause: a service's cell was a digest of its name. Change: Division names the cells of each service, one for 70 runners, and the cell of each rack, including racks whose machines may be moved in. It lies in keyed.division and is extended by the owner of the coordinator's cell with an append that holds only if the record is still the one it read. What it says of a service or rack never changes, so instances with different versions cannot give one runner or one job to two cells. Jobs go to a cell by a digest of their id; counts and loads are added up. An unreadable or newer record is logged and never written over.

--- a/cells/cell_messages.h
+++ b/cells/cell_messages.h
@@ -7,7 +7,6 @@
 #include <string>
 
 #include "cells/cell_types.h"
-#include "core/digest.h"
 
 namespace wigeonlane {
 
@@ -36,12 +35,6 @@
   }
 };
 
-/// The cell of a service. It depends on nothing but the name, so that all instances agree on it
-/// whatever version of the configuration they have.
-inline CellNumber CellOfService(std::string_view service, std::uint32_t cells) {
-  return static_cast<CellNumber>(ShortDigestOf(service) % cells);
-}
-
 }  // namespace wigeonlane
 
 #endif  // WIGEONLANE_CELLS_CELL_MESSAGES_H_
--- a/core/http_status.h
+++ b/core/http_status.h
@@ -11,6 +11,7 @@
 inline constexpr int kRequestTimeout = 408;
 inline constexpr int kConflict = 409;
 inline constexpr int kGone = 410;
+inline constexpr int kPreconditionFailed = 412;
 inline constexpr int kPayloadTooLarge = 413;
 inline constexpr int kMisdirected = 421;
 inline constexpr int kTooMany = 429;
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -30,6 +30,8 @@
 /// What is left of the grace period when the process gives up on requests in flight.
 constexpr std::chrono::milliseconds kExitMargin{500};
 constexpr std::chrono::milliseconds kShutdownPoll{50};
+/// Between looks for services and racks that have no cell; a machine that moves comes up in 1.5 s.
+constexpr std::chrono::milliseconds kDivisionPeriod{250};
 
 OwnershipOptions GroupOptions(const PlatformSettings& settings) {
   OwnershipOptions options;
@@ -56,7 +58,8 @@
                },
                [this] { ownership_.RefreshOwners(); },
                [this](const Endpoint& peer) { TakeEndOf(peer); }}),
-      callers_(&routes_, &router_, settings_.partitions, &metrics_),
+      divisions_(&io_, &store_, settings_.partitions, [this] { UpdateRunners(); }),
+      callers_(&routes_, &router_, &divisions_.division(), &metrics_),
       ownership_(&io_, &store_, &clock_, GroupOptions(settings_),
                  {[this](CellNumber cell, TenureToken token) { cells_.Gain(cell, token); },
                   [this](CellNumber cell, std::function<void()> released) {
@@ -91,7 +94,7 @@
       readiness_(
           &io_,
           [this](const HttpRequest&, const HttpReply& reply) {
-            const bool ready = !draining_ && routes_.version() > 0;
+            const bool ready = !draining_ && routes_.version() > 0 && divisions_.known();
             reply(BareResponse(ready ? http_status::kOk : http_status::kUnavailable));
           },
           [] { return HttpServerLimits(); }),
@@ -106,12 +109,13 @@
           },
           [] { return HttpServerLimits(); }),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
-      shutdown_timer_(io_) {
+      shutdown_timer_(io_),
+      division_timer_(io_) {
   if (!settings_.machines) return;
   machines_ = std::make_unique<MachineClient>(&io_, *settings_.machines, &metrics_);
   MachineCoordinator::Options options;
   options.holder = settings_.instance;
-  options.cells = settings_.partitions;
+  options.division = &divisions_.division();
   options.machine_lease = settings_.machine_lease;
   options.predecessor_left = [this]() -> std::optional<Instant> {
     const Host* host = cells_.Find(kCoordinatorCell);
@@ -132,6 +136,8 @@
   WaitForSignal();
   operator_watch_.Start();
   directory_.Start();
+  divisions_.Start();
+  ExtendDivision();
   ownership_.Start();
   io_.run();
   LogInfo("stopped", {{"instance", settings_.instance}});
@@ -197,11 +203,13 @@
                          {"routes", Concat(config->routes.size())}});
   routes_.Assign(config->version, std::move(config->routes));
   limits_ = config->limits;
-  if (coordinator_ == nullptr) return;
+  services_.clear();
   std::vector<PoolConfig> pools;
   for (const ConfiguredService& service : config->services) {
+    services_.push_back(service.name);
     pools.push_back({service.name, service.spare});
   }
+  if (coordinator_ == nullptr) return;
   coordinator_->SetPools(std::move(pools));
 }
 
@@ -214,8 +222,8 @@
 }
 
 void JobInstance::GiveRunners(CellNumber cell, Host* host) {
-  host->SetRunners(directory_.Listings([&](const std::string& service) {
-    return CellOfService(service, settings_.partitions) == cell;
+  host->SetRunners(directory_.Listings([&](const RunnerListing& runner) {
+    return divisions_.division().CellOfRunner(runner.service, runner.rack) == cell;
   }));
 }
 
@@ -223,6 +231,17 @@
   for (const auto& [cell, host] : cells_.hosts()) GiveRunners(cell, host.get());
 }
 
+/// The owner of the coordinator's cell sees to it that every service and rack has a cell.
+void JobInstance::ExtendDivision() {
+  if (cells_.Find(kCoordinatorCell) != nullptr && routes_.version() > 0) {
+    divisions_.Extend(services_, directory_.Listings([](const RunnerListing&) { return true; }));
+  }
+  division_timer_.expires_after(kDivisionPeriod);
+  division_timer_.async_wait([this](asio::error_code error) {
+    if (!error && !draining_) ExtendDivision();
+  });
+}
+
 std::optional<Endpoint> JobInstance::OwnerAddress(CellNumber cell) const {
   const auto member = ownership_.OwnerOf(cell);
   if (!member) return {};
--- a/daemon/job_instance.h
+++ b/daemon/job_instance.h
@@ -17,6 +17,7 @@
 #include "cells/ownership.h"
 #include "core/boot_clock.h"
 #include "core/metrics.h"
+#include "daemon/division_keeper.h"
 #include "daemon/machine_coordinator.h"
 #include "jobs/route_table.h"
 #include "net/async_http_server.h"
@@ -51,6 +52,7 @@
   void TakeRenewal(Instant sent);
   std::unique_ptr<Host> MakeHost(CellNumber cell, TenureToken token);
   void UpdateRunners();
+  void ExtendDivision();
   void GiveRunners(CellNumber cell, Host* host);
   std::optional<Endpoint> OwnerAddress(CellNumber cell) const;
   void Serve(CellCall call, std::function<void(CallAnswer)> answered);
@@ -70,8 +72,10 @@
   StoreClient store_;
   RunnerGateway runners_;
   RouteTable routes_;
+  std::vector<std::string> services_;  ///< Of the configuration.
   HttpServerLimits limits_;
   CallRouter router_;
+  DivisionKeeper divisions_;
   CallerApi callers_;
   std::unique_ptr<MachineClient> machines_;          ///< Null where there is no machine API.
   std::unique_ptr<MachineCoordinator> coordinator_;  ///< As above.
@@ -85,6 +89,7 @@
   AsyncHttpServer metrics_server_;
   asio::signal_set signals_;
   asio::steady_timer shutdown_timer_;
+  asio::steady_timer division_timer_;
   Instant shutdown_since_{};
   bool draining_ = false;
   bool left_ = false;
--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -41,7 +41,7 @@
       store_(store),
       router_(router),
       options_(std::move(options)),
-      balancer_(machines, router, options_.cells),
+      balancer_(machines, router, options_.division),
       timer_(*io) {}
 
 void MachineCoordinator::Start(TenureToken token) {
@@ -140,8 +140,9 @@
   for (const auto& [name, before] : std::exchange(answered_, {})) {
     const auto listed = machines.find(name);
     if (before.runner.empty() || listed == machines.end() || listed->second.up) continue;
-    router_->Call(CallFor(CellVerb::kRunnerGone, before), kGoneHandover, kAskTimeout,
-                  [](const CallAnswer&) {});
+    if (auto call = CallOnRunner(*options_.division, CellVerb::kRunnerGone, before)) {
+      router_->Call(*std::move(call), kGoneHandover, kAskTimeout, [](const CallAnswer&) {});
+    }
   }
 }
 
@@ -176,18 +177,12 @@
   }
 }
 
-CellCall MachineCoordinator::CallFor(CellVerb verb, const ListedMachine& machine) const {
-  CellCall call;
-  call.verb = verb;
-  call.cell = CellOfService(machine.pool, options_.cells);
-  call.name = machine.runner;
-  return call;
-}
-
 void MachineCoordinator::Prepare(std::uint64_t wave, const ListedMachine& machine,
                                  std::uint64_t tenure) {
   if (machine.runner.empty()) return Order(wave, machine, tenure);
-  router_->Call(CallFor(CellVerb::kReserveRunner, machine), kHandover, kAskTimeout,
+  auto call = CallOnRunner(*options_.division, CellVerb::kReserveRunner, machine);
+  if (!call) return;  // The rack is new; its owner is recorded soon.
+  router_->Call(*std::move(call), kHandover, kAskTimeout,
                 [this, wave, machine, tenure](const CallAnswer& answer) {
                   if (answer.verdict == CallVerdict::kReady) Order(wave, machine, tenure);
                 });
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cells/call_router.h"
+#include "cells/division.h"
 #include "core/boot_clock.h"
 #include "daemon/pool_balancer.h"
 #include "platform/machine_client.h"
@@ -26,8 +27,8 @@
 class MachineCoordinator {
  public:
   struct Options {
-    std::string holder;       ///< Name under which machines are ordered.
-    std::uint32_t cells = 0;  ///< To find the cell of a pool.
+    std::string holder;                  ///< Name under which machines are ordered.
+    const Division* division = nullptr;  ///< To find the cell of a machine's runner.
     /// A former holder's orders are over after this: its authority and the platform's lease.
     std::chrono::milliseconds takeover_wait{6'000};
     /// How long the platform takes orders of one holder only (Bounds.LeaseMs).
@@ -64,7 +65,6 @@
   void ReportGone(const MachineList& machines);
   void StoreBegun(const WavePlan& plan);
   void StoreStatus(std::uint64_t wave, bool completed);
-  CellCall CallFor(CellVerb verb, const ListedMachine& machine) const;
 
   BootClock clock_;
   MachineClient* machines_;
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -21,30 +21,56 @@
 
 }  // namespace
 
+std::optional<CellCall> CallOnRunner(const Division& division, CellVerb verb,
+                                     const ListedMachine& machine) {
+  const auto cell = division.CellOfRunner(machine.pool, machine.rack);
+  if (!cell) return {};
+  CellCall call;
+  call.verb = verb;
+  call.cell = *cell;
+  call.name = machine.runner;
+  return call;
+}
+
 void PoolBalancer::Reset() {
   moves_.clear();
   loads_.clear();
-  load_times_.clear();
 }
 
 void PoolBalancer::AskLoads() {
   std::set<CellNumber> asked;
-  for (const PoolConfig& pool : pools_) asked.insert(CellOfService(pool.service, cells_));
+  for (const PoolConfig& pool : pools_) {
+    for (const CellNumber cell : division_->CellsOf(pool.service)) asked.insert(cell);
+  }
   for (const CellNumber cell : asked) {
     CellCall call;
     call.verb = CellVerb::kReportLoads;
     call.cell = cell;
     router_->Call(std::move(call), std::chrono::milliseconds(0), kAskTimeout,
-                  [this](const CallAnswer& answer) {
+                  [this, cell](const CallAnswer& answer) {
                     if (answer.verdict != CallVerdict::kLoads) return;
-                    for (const ServiceLoad& load : answer.loads) {
-                      loads_[load.service] = load;
-                      load_times_[load.service] = clock_.Now();
-                    }
+                    loads_[cell] = {answer.loads, clock_.Now()};
                   });
   }
 }
 
+/// The load of a service over all its cells; nothing unless each has told its own lately.
+std::optional<ServiceLoad> PoolBalancer::LoadOf(const std::string& service) const {
+  const std::vector<CellNumber> cells = division_->CellsOf(service);
+  ServiceLoad total;
+  total.service = service;
+  for (const CellNumber cell : cells) {
+    const auto reported = loads_.find(cell);
+    if (reported == loads_.end() || clock_.Now() - reported->second.at >= kLoadAge) return {};
+    for (const ServiceLoad& load : reported->second.services) {
+      if (load.service == service) total += load;
+    }
+  }
+  std::sort(total.movable.begin(), total.movable.end(),
+            [](const MovableRunner& a, const MovableRunner& b) { return a.runs < b.runs; });
+  return cells.empty() ? std::nullopt : std::optional(std::move(total));
+}
+
 void PoolBalancer::Round(const MachineList& machines, const std::set<std::string>& reserved,
                          const OrderHolder& holder, const std::function<bool()>& may_order) {
   DropFinished(machines);
@@ -70,9 +96,8 @@
     PoolView view;
     view.service = pool.service;
     view.spare = pool.spare;
-    const auto load = loads_.find(pool.service);
-    const auto asked = load_times_.find(pool.service);
-    view.reported = load != loads_.end() && clock_.Now() - asked->second < kLoadAge;
+    const auto load = LoadOf(pool.service);
+    view.reported = load.has_value();
     std::map<std::string, std::string> machine_of_runner;
     double cores = 0;
     std::uint32_t listed = 0;
@@ -89,10 +114,10 @@
     }
     view.cores_each = listed == 0 ? 0 : cores / listed;
     if (view.reported) {
-      view.busy_cores = static_cast<double>(load->second.busy_cpu_milli) / kMilliPerUnit;
-      view.arriving_cores = static_cast<double>(load->second.arriving_cpu_milli) / kMilliPerUnit;
-      view.backlog_work = static_cast<double>(load->second.backlog_work) / kMilliPerUnit;
-      for (const MovableRunner& runner : load->second.movable) {
+      view.busy_cores = static_cast<double>(load->busy_cpu_milli) / kMilliPerUnit;
+      view.arriving_cores = static_cast<double>(load->arriving_cpu_milli) / kMilliPerUnit;
+      view.backlog_work = static_cast<double>(load->backlog_work) / kMilliPerUnit;
+      for (const MovableRunner& runner : load->movable) {
         const auto machine = machine_of_runner.find(runner.id);
         if (machine != machine_of_runner.end() && !pool.spare) {
           view.movable.push_back(machine->second);
@@ -132,11 +157,9 @@
 
 void PoolBalancer::Prepare(const std::string& machine, const OrderHolder& holder,
                            const std::function<bool()>& may_order) {
-  CellCall call;
-  call.verb = CellVerb::kReserveRunner;
-  call.cell = CellOfService(moves_.at(machine).before.pool, cells_);
-  call.name = moves_.at(machine).before.runner;
-  router_->Call(std::move(call), std::chrono::milliseconds(0), kAskTimeout,
+  auto call = CallOnRunner(*division_, CellVerb::kReserveRunner, moves_.at(machine).before);
+  if (!call) return;
+  router_->Call(*std::move(call), std::chrono::milliseconds(0), kAskTimeout,
                 [this, machine, holder, may_order](const CallAnswer& answer) {
                   const auto move = moves_.find(machine);
                   if (move == moves_.end() || move->second.ordered) return;
@@ -165,11 +188,9 @@
   }
   move.confirmed = true;
   if (move.before.runner.empty()) return;
-  CellCall call;
-  call.verb = CellVerb::kRunnerGone;
-  call.cell = CellOfService(move.before.pool, cells_);
-  call.name = move.before.runner;
-  router_->Call(std::move(call), kGoneHandover, kAskTimeout, [](const CallAnswer&) {});
+  auto call = CallOnRunner(*division_, CellVerb::kRunnerGone, move.before);
+  if (!call) return;
+  router_->Call(*std::move(call), kGoneHandover, kAskTimeout, [](const CallAnswer&) {});
 }
 
 }  // namespace wigeonlane
--- a/daemon/pool_balancer.h
+++ b/daemon/pool_balancer.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "cells/call_router.h"
+#include "cells/division.h"
 #include "core/boot_clock.h"
 #include "platform/machine_client.h"
 #include "scheduling/pool_planner.h"
@@ -23,10 +24,14 @@
   bool spare = false;  ///< Its machines are off until they are moved.
 };
 
+/// A call to the owner of the runner on `machine`; nothing while that is not recorded.
+std::optional<CellCall> CallOnRunner(const Division& division, CellVerb verb,
+                                     const ListedMachine& machine);
+
 class PoolBalancer {
  public:
-  PoolBalancer(MachineClient* machines, CallRouter* router, std::uint32_t cells)
-      : machines_(machines), router_(router), cells_(cells) {}
+  PoolBalancer(MachineClient* machines, CallRouter* router, const Division* division)
+      : machines_(machines), router_(router), division_(division) {}
 
   void SetPools(std::vector<PoolConfig> pools) { pools_ = std::move(pools); }
 
@@ -50,6 +55,13 @@
     bool confirmed = false;
   };
 
+  /// What one cell said last.
+  struct ReportedLoads {
+    std::vector<ServiceLoad> services;
+    Instant at{};
+  };
+
+  std::optional<ServiceLoad> LoadOf(const std::string& service) const;
   bool IsSpare(const std::string& service) const;
   std::vector<PoolView> Views(const MachineList& machines,
                               const std::set<std::string>& reserved) const;
@@ -63,11 +75,10 @@
   BootClock clock_;
   MachineClient* machines_;
   CallRouter* router_;
-  const std::uint32_t cells_;
+  const Division* division_;
   std::vector<PoolConfig> pools_;
   PoolPlanner planner_;
-  std::map<std::string, ServiceLoad> loads_;
-  std::map<std::string, Instant> load_times_;
+  std::map<CellNumber, ReportedLoads> loads_;
   std::map<std::string, Move> moves_;
 };
 
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -31,6 +31,7 @@
   std::string runner;  ///< Id of its runner; empty when it has none.
   bool up = false;
   double cores = 0;
+  std::string rack;
 };
 
 enum class UpkeepPhase : std::uint8_t {
