--- a/cells/division.cc
+++ b/cells/division.cc
@@ -40,29 +40,45 @@
   return chosen;
 }
 
-/// Gives each rack that has no cell yet to the cell with the fewest runners, and among equals with
-/// the fewest racks; large racks first.
+/// What a cell of a service has, or may get when machines move.
+struct CellLoad {
+  std::uint32_t runners = 0;
+  std::uint32_t foreign_racks = 0;  ///< Racks without runners of the service.
+};
+
+/// The cell to which a rack goes that has so many runners of the service.
+std::uint32_t CellForRack(const std::vector<CellLoad>& loads, std::uint32_t runners) {
+  const auto less = [&](const CellLoad& a, const CellLoad& b) {
+    return runners > 0 ? a.runners < b.runners : a.foreign_racks < b.foreign_racks;
+  };
+  return static_cast<std::uint32_t>(std::min_element(loads.begin(), loads.end(), less) -
+                                    loads.begin());
+}
+
+void AddRack(std::uint32_t runners, CellLoad* load) {
+  load->runners += runners;
+  if (runners == 0) ++load->foreign_racks;
+}
+
+/// Gives each rack that has no cell yet to the one with the fewest runners, large racks first;
+/// racks of other services are dealt out evenly. Returns whether there were any.
 bool AssignRacks(const RackCounts& own, const RackCounts& all, ServiceDivision* service) {
   if (service->cells.size() < 2) return false;
   const auto own_runners = [&](const std::string& rack) {
     const auto found = own.find(rack);
     return found == own.end() ? 0U : found->second;
   };
-  std::vector<std::pair<std::uint32_t, std::uint32_t>> load(service->cells.size());
-  for (const auto& [rack, index] : service->racks) {
-    load.at(index).first += own_runners(rack);
-    ++load.at(index).second;
-  }
+  std::vector<CellLoad> loads(service->cells.size());
+  for (const auto& [rack, index] : service->racks) AddRack(own_runners(rack), &loads.at(index));
   std::vector<std::pair<std::uint32_t, std::string>> missing;
   for (const auto& [rack, runners] : all) {
     if (!service->racks.contains(rack)) missing.emplace_back(own_runners(rack), rack);
   }
   std::sort(missing.rbegin(), missing.rend());
   for (const auto& [runners, rack] : missing) {
-    const auto least = std::min_element(load.begin(), load.end());
-    service->racks[rack] = static_cast<std::uint32_t>(least - load.begin());
-    least->first += runners;
-    ++least->second;
+    const std::uint32_t index = CellForRack(loads, runners);
+    service->racks[rack] = index;
+    AddRack(runners, &loads[index]);
   }
   return !missing.empty();
 }
--- a/scheduling/pool_planner.cc
+++ b/scheduling/pool_planner.cc
@@ -40,6 +40,10 @@
 
 std::vector<MachineMove> PoolPlanner::Plan(std::vector<PoolView> pools, Instant now) {
   NotePressure(pools, now);
+  double machines = 0;
+  for (const PoolView& pool : pools) machines += pool.machines;
+  most_moves_ = std::max<std::size_t>(
+      options_.most_moves, static_cast<std::size_t>(machines * options_.most_moves_share));
   std::vector<MachineMove> moves;
   Lend(&pools, &moves, now);
   if (moves.empty()) Return(&pools, &moves, now);
@@ -63,7 +67,7 @@
     for (PoolView& giver : *pools) {
       const bool lends = giver.spare || (giver.reported && giver.service != need.pool->service &&
                                          CalmFor(giver, now) >= options_.calm_before_lending);
-      while (lends && need.missing > 0 && moves->size() < options_.most_moves) {
+      while (lends && need.missing > 0 && moves->size() < most_moves_) {
         const auto kept =
             static_cast<std::uint32_t>(std::ceil(home_.at(giver.service) * options_.kept_share));
         const bool enough = giver.spare || std::max(NeededMachines(giver), kept) < giver.machines;
@@ -84,7 +88,7 @@
     const double kept = pool.busy_cores / (1 - options_.headroom);
     const auto needed = static_cast<std::uint32_t>(std::ceil(kept / pool.cores_each));
     const std::uint32_t least = std::max(needed, home_.at(pool.service));
-    while (pool.machines > least && moves->size() < options_.most_moves) {
+    while (pool.machines > least && moves->size() < most_moves_) {
       if (!TakeFrom(&pool, spare->service, moves)) break;
     }
   }
--- a/scheduling/pool_planner.h
+++ b/scheduling/pool_planner.h
@@ -49,8 +49,10 @@
   double kept_share = 0.34;
   /// Share of a pool's cores that stays free when machines are taken from it.
   double headroom = 0.3;
-  /// Moves in one round, so that a wrong reading does not empty a pool.
+  /// Moves in one round, so that a wrong reading does not empty a pool: so many, or this share of
+  /// all machines where that is more.
   std::uint32_t most_moves = 12;
+  double most_moves_share = 0.03;
 };
 
 class PoolPlanner {
@@ -73,6 +75,7 @@
   void Return(std::vector<PoolView>* pools, std::vector<MachineMove>* moves, Instant now) const;
 
   const PoolPlannerOptions options_;
+  std::size_t most_moves_ = 0;                 ///< In this round.
   std::map<std::string, std::uint32_t> home_;  ///< Machines that a pool had at first.
   std::map<std::string, Instant> pressed_at_;  ///< When a pool last needed all it had.
 };
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -31,7 +31,7 @@
   std::string runner;  ///< Id of its runner; empty when it has none.
   bool up = false;
   double cores = 0;
-  std::string rack;
+  std::string rack = {};
 };
 
 enum class UpkeepPhase : std::uint8_t {
--- a/tests/scheduling/pool_planner_test.cc
+++ b/tests/scheduling/pool_planner_test.cc
@@ -115,6 +115,13 @@
   CHECK(Count(moves, "fold", "press") == 0);
 }
 
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_LargeFleet_MovesAShareOfItInOneRound") {
+  planner_.Plan({Pool("press", 240, 800, 0), Spare(860)}, now_);
+  now_ += seconds(1);
+  const auto moves = planner_.Plan({Pool("press", 240, 7'600, 9'000), Spare(860)}, now_);
+  CHECK(Count(moves, "spare", "press") == 33);  // 3% of 1,100.
+}
+
 TEST_CASE("ArrivalMeter_JobsLeaveTheWindow_TheirWorkGoesWithThem") {
   Instant now{std::chrono::hours(1)};
   ArrivalMeter meter;
