machines: planned for each part of a service, so that no cell is emptied

Cause: moves were planned by the totals of a service. Change: each cell of a service is a part with its own need, floor and racks; a machine is chosen whose rack belongs to the part that needs it. Spare pools stay one part.

--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -142,16 +142,6 @@
   std::int64_t backlog_work = 0;  ///< In thousandths of a core-second, of tasks that wait for room.
   std::vector<MovableRunner> movable;  ///< Least busy first.
 
-  /// Adds what another cell of the service has to do; `movable` is then in no order.
-  ServiceLoad& operator+=(const ServiceLoad& other) {
-    busy_cpu_milli += other.busy_cpu_milli;
-    capacity_cpu_milli += other.capacity_cpu_milli;
-    arriving_cpu_milli += other.arriving_cpu_milli;
-    backlog_work += other.backlog_work;
-    movable.insert(movable.end(), other.movable.begin(), other.movable.end());
-    return *this;
-  }
-
   template <class Archive>
   void serialize(Archive& archive) {
     archive(service, busy_cpu_milli, capacity_cpu_milli, arriving_cpu_milli, backlog_work, movable);
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -54,21 +54,14 @@
   }
 }
 
-/// The load of a service over all its cells; nothing unless each has told its own lately.
-std::optional<ServiceLoad> PoolBalancer::LoadOf(const std::string& service) const {
-  const std::vector<CellNumber> cells = division_->CellsOf(service);
-  ServiceLoad total;
-  total.service = service;
-  for (const CellNumber cell : cells) {
-    const auto reported = loads_.find(cell);
-    if (reported == loads_.end() || clock_.Now() - reported->second.at >= kLoadAge) return {};
-    for (const ServiceLoad& load : reported->second.services) {
-      if (load.service == service) total += load;
-    }
+/// The load of a service in one of its cells; nothing unless that was told lately.
+std::optional<ServiceLoad> PoolBalancer::LoadOf(const std::string& service, CellNumber cell) const {
+  const auto reported = loads_.find(cell);
+  if (reported == loads_.end() || clock_.Now() - reported->second.at >= kLoadAge) return {};
+  for (const ServiceLoad& load : reported->second.services) {
+    if (load.service == service) return load;
   }
-  std::sort(total.movable.begin(), total.movable.end(),
-            [](const MovableRunner& a, const MovableRunner& b) { return a.runs < b.runs; });
-  return cells.empty() ? std::nullopt : std::optional(std::move(total));
+  return ServiceLoad();
 }
 
 void PoolBalancer::Round(const MachineList& machines, const std::set<std::string>& reserved,
@@ -89,42 +82,73 @@
                      [&](const PoolConfig& pool) { return pool.spare && pool.service == service; });
 }
 
+/// The parts of a pool without its machines. A spare pool is one part: its machines run nothing.
+std::vector<PoolView> PoolBalancer::PartsOf(const PoolConfig& pool) const {
+  std::vector<PoolView> parts;
+  const std::vector<CellNumber> cells = division_->CellsOf(pool.service);
+  for (const CellNumber cell : cells) {
+    PoolView part;
+    part.service = pool.service;
+    part.spare = pool.spare;
+    part.part = cell;
+    if (!pool.spare && cells.size() > 1) part.racks.emplace();
+    if (const auto load = LoadOf(pool.service, cell)) {
+      part.reported = true;
+      part.busy_cores = static_cast<double>(load->busy_cpu_milli) / kMilliPerUnit;
+      part.arriving_cores = static_cast<double>(load->arriving_cpu_milli) / kMilliPerUnit;
+      part.backlog_work = static_cast<double>(load->backlog_work) / kMilliPerUnit;
+    }
+    parts.push_back(std::move(part));
+    if (pool.spare) break;
+  }
+  return parts;
+}
+
 std::vector<PoolView> PoolBalancer::Views(const MachineList& machines,
                                           const std::set<std::string>& reserved) const {
   std::vector<PoolView> views;
   for (const PoolConfig& pool : pools_) {
-    PoolView view;
-    view.service = pool.service;
-    view.spare = pool.spare;
-    const auto load = LoadOf(pool.service);
-    view.reported = load.has_value();
-    std::map<std::string, std::string> machine_of_runner;
-    double cores = 0;
-    std::uint32_t listed = 0;
-    for (const auto& [name, machine] : machines) {
-      const auto move = moves_.find(name);
-      const std::string& counts_for = move == moves_.end() ? machine.pool : move->second.to;
-      if (counts_for == pool.service) ++view.machines;
-      if (machine.pool != pool.service) continue;
-      cores += machine.cores;
-      ++listed;
-      if (!machine.up || move != moves_.end() || reserved.contains(name)) continue;
-      if (pool.spare) view.movable.push_back(name);
-      if (!machine.runner.empty()) machine_of_runner[machine.runner] = name;
+    for (PoolView& part : PartsOf(pool)) views.push_back(std::move(part));
+  }
+  const auto view_of = [&](const std::string& service, const std::string& rack) -> PoolView* {
+    const auto cell = division_->CellOfRunner(service, rack);
+    for (PoolView& view : views) {
+      if (view.service == service && (view.spare || view.part == cell)) return &view;
     }
-    view.cores_each = listed == 0 ? 0 : cores / listed;
-    if (view.reported) {
-      view.busy_cores = static_cast<double>(load->busy_cpu_milli) / kMilliPerUnit;
-      view.arriving_cores = static_cast<double>(load->arriving_cpu_milli) / kMilliPerUnit;
-      view.backlog_work = static_cast<double>(load->backlog_work) / kMilliPerUnit;
-      for (const MovableRunner& runner : load->movable) {
-        const auto machine = machine_of_runner.find(runner.id);
-        if (machine != machine_of_runner.end() && !pool.spare) {
-          view.movable.push_back(machine->second);
-        }
+    return nullptr;
+  };
+  std::map<const PoolView*, double> cores;
+  std::map<const PoolView*, std::uint32_t> listed;
+  std::map<std::string, const ListedMachine*> machine_of_runner;
+  std::set<std::string> racks;
+  for (const auto& [name, machine] : machines) {
+    racks.insert(machine.rack);
+    const auto move = moves_.find(name);
+    PoolView* counted =
+        view_of(move == moves_.end() ? machine.pool : move->second.to, machine.rack);
+    if (counted != nullptr) ++counted->machines;
+    PoolView* view = view_of(machine.pool, machine.rack);
+    if (view == nullptr) continue;
+    cores[view] += machine.cores;
+    ++listed[view];
+    if (!machine.up || move != moves_.end() || reserved.contains(name)) continue;
+    if (view->spare) view->movable.push_back({name, machine.rack});
+    if (!machine.runner.empty()) machine_of_runner[machine.runner] = &machine;
+  }
+  for (PoolView& view : views) {
+    view.cores_each = listed[&view] == 0 ? 0 : cores[&view] / listed[&view];
+    if (view.racks) {
+      for (const std::string& rack : racks) {
+        if (division_->CellOfRunner(view.service, rack) == view.part) view.racks->insert(rack);
       }
     }
-    views.push_back(std::move(view));
+    const auto load = LoadOf(view.service, view.part);
+    if (view.spare || !load) continue;
+    for (const MovableRunner& runner : load->movable) {
+      const auto machine = machine_of_runner.find(runner.id);
+      if (machine == machine_of_runner.end()) continue;
+      view.movable.push_back({machine->second->machine, machine->second->rack});
+    }
   }
   return views;
 }
--- a/daemon/pool_balancer.h
+++ b/daemon/pool_balancer.h
@@ -61,7 +61,8 @@
     Instant at{};
   };
 
-  std::optional<ServiceLoad> LoadOf(const std::string& service) const;
+  std::optional<ServiceLoad> LoadOf(const std::string& service, CellNumber cell) const;
+  std::vector<PoolView> PartsOf(const PoolConfig& pool) const;
   bool IsSpare(const std::string& service) const;
   std::vector<PoolView> Views(const MachineList& machines,
                               const std::set<std::string>& reserved) const;
--- a/scheduling/pool_planner.cc
+++ b/scheduling/pool_planner.cc
@@ -15,7 +15,7 @@
 }
 
 Duration PoolPlanner::CalmFor(const PoolView& pool, Instant now) const {
-  const auto pressed = pressed_at_.find(pool.service);
+  const auto pressed = pressed_at_.find(KeyOf(pool));
   return pressed == pressed_at_.end() ? Duration::zero() : now - pressed->second;
 }
 
@@ -23,17 +23,19 @@
   for (const PoolView& pool : pools) {
     const double all = pool.cores_each * pool.machines;
     const bool pressed = pool.backlog_work > 0 || pool.busy_cores > all * (1 - options_.headroom);
-    if (pressed || !pool.reported) pressed_at_[pool.service] = now;
-    pressed_at_.try_emplace(pool.service, now);
-    home_.try_emplace(pool.service, pool.machines);
+    if (pressed || !pool.reported) pressed_at_[KeyOf(pool)] = now;
+    pressed_at_.try_emplace(KeyOf(pool), now);
+    home_.try_emplace(KeyOf(pool), pool.machines);
   }
 }
 
-bool PoolPlanner::TakeFrom(PoolView* giver, const std::string& to,
-                           std::vector<MachineMove>* moves) {
-  if (giver->movable.empty()) return false;
-  moves->push_back({giver->movable.front(), giver->service, to});
-  giver->movable.erase(giver->movable.begin());
+bool PoolPlanner::TakeFrom(PoolView* giver, const PoolView& to, std::vector<MachineMove>* moves) {
+  const auto chosen = std::find_if(
+      giver->movable.begin(), giver->movable.end(),
+      [&](const MovableMachine& machine) { return !to.racks || to.racks->contains(machine.rack); });
+  if (chosen == giver->movable.end()) return false;
+  moves->push_back({chosen->name, giver->service, to.service});
+  giver->movable.erase(chosen);
   --giver->machines;
   return true;
 }
@@ -69,9 +71,9 @@
                                          CalmFor(giver, now) >= options_.calm_before_lending);
       while (lends && need.missing > 0 && moves->size() < most_moves_) {
         const auto kept =
-            static_cast<std::uint32_t>(std::ceil(home_.at(giver.service) * options_.kept_share));
+            static_cast<std::uint32_t>(std::ceil(home_.at(KeyOf(giver)) * options_.kept_share));
         const bool enough = giver.spare || std::max(NeededMachines(giver), kept) < giver.machines;
-        if (!enough || !TakeFrom(&giver, need.pool->service, moves)) break;
+        if (!enough || !TakeFrom(&giver, *need.pool, moves)) break;
         --need.missing;
       }
     }
@@ -87,9 +89,9 @@
     if (pool.spare || !pool.reported || CalmFor(pool, now) < options_.calm_before_return) continue;
     const double kept = pool.busy_cores / (1 - options_.headroom);
     const auto needed = static_cast<std::uint32_t>(std::ceil(kept / pool.cores_each));
-    const std::uint32_t least = std::max(needed, home_.at(pool.service));
+    const std::uint32_t least = std::max(needed, home_.at(KeyOf(pool)));
     while (pool.machines > least && moves->size() < most_moves_) {
-      if (!TakeFrom(&pool, spare->service, moves)) break;
+      if (!TakeFrom(&pool, *spare, moves)) break;
     }
   }
 }
--- a/scheduling/pool_planner.h
+++ b/scheduling/pool_planner.h
@@ -10,24 +10,36 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "core/clock.h"
 
 namespace wigeonlane {
 
-/// One pool as its owner and the list of machines describe it.
+/// A machine that holds no lasting task.
+struct MovableMachine {
+  std::string name;
+  std::string rack = {};
+};
+
+/// The pool of a service, or the part of it that one owner has, as the owner and the list of
+/// machines describe it. A machine belongs to the part that has its rack.
 struct PoolView {
   std::string service;
-  bool spare = false;          ///< Its machines are off and free of charge.
-  bool reported = false;       ///< Its owner has told its load.
-  std::uint32_t machines = 0;  ///< Up or on their way here.
+  std::uint32_t part = 0;
+  std::optional<std::set<std::string>> racks = {};  ///< Of the part; any when it is the whole pool.
+  bool spare = false;                               ///< Its machines are off and free of charge.
+  bool reported = false;                            ///< Its owner has told its load.
+  std::uint32_t machines = 0;                       ///< Up or on their way here.
   double cores_each = 0;
   double busy_cores = 0;
   double arriving_cores = 0;  ///< What keeps up with the jobs that come in.
   double backlog_work = 0;    ///< In core-seconds, of tasks whose turn has come and that wait.
-  std::vector<std::string> movable;  ///< Machines that hold no lasting task, idle ones first.
+  std::vector<MovableMachine> movable = {};  ///< Idle ones first.
 };
 
 struct MachineMove {
@@ -70,14 +82,18 @@
   std::uint32_t NeededMachines(const PoolView& pool) const;
   Duration CalmFor(const PoolView& pool, Instant now) const;
   void NotePressure(const std::vector<PoolView>& pools, Instant now);
-  static bool TakeFrom(PoolView* giver, const std::string& to, std::vector<MachineMove>* moves);
+  static bool TakeFrom(PoolView* giver, const PoolView& to, std::vector<MachineMove>* moves);
   void Lend(std::vector<PoolView>* pools, std::vector<MachineMove>* moves, Instant now) const;
   void Return(std::vector<PoolView>* pools, std::vector<MachineMove>* moves, Instant now) const;
 
   const PoolPlannerOptions options_;
-  std::size_t most_moves_ = 0;                 ///< In this round.
-  std::map<std::string, std::uint32_t> home_;  ///< Machines that a pool had at first.
-  std::map<std::string, Instant> pressed_at_;  ///< When a pool last needed all it had.
+  std::size_t most_moves_ = 0;  ///< In this round.
+  using PartKey = std::pair<std::string, std::uint32_t>;
+
+  static PartKey KeyOf(const PoolView& pool) { return {pool.service, pool.part}; }
+
+  std::map<PartKey, std::uint32_t> home_;  ///< Machines that a part had at first.
+  std::map<PartKey, Instant> pressed_at_;  ///< When a part last needed all it had.
 };
 
 }  // namespace wigeonlane
--- a/tests/scheduling/pool_planner_test.cc
+++ b/tests/scheduling/pool_planner_test.cc
@@ -24,7 +24,7 @@
     pool.busy_cores = busy;
     pool.backlog_work = backlog;
     for (std::uint32_t i = 0; i < machines / 2; ++i) {
-      pool.movable.push_back(service + std::to_string(i));
+      pool.movable.push_back({service + std::to_string(i)});
     }
     return pool;
   }
@@ -66,7 +66,7 @@
 
 TEST_CASE_METHOD(PoolPlannerTest, "Plan_CalmPoolLends_KeepsAThirdOfItsFirstMachines") {
   PoolView fold = Pool("fold", 9, 2, 0);
-  for (std::uint32_t i = 4; i < 9; ++i) fold.movable.push_back("fold" + std::to_string(i));
+  for (std::uint32_t i = 4; i < 9; ++i) fold.movable.push_back({"fold" + std::to_string(i)});
   planner_.Plan({Pool("press", 9, 30, 0), fold, Spare(0)}, now_);
   now_ += seconds(5);
   const auto moves = planner_.Plan({Pool("press", 9, 280, 900), fold, Spare(0)}, now_);
@@ -122,6 +122,37 @@
   CHECK(Count(moves, "spare", "press") == 33);  // 3% of 1,100.
 }
 
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_OnePartUnderPressure_GetsOnlyMachinesOfItsRacks") {
+  PoolView first = Pool("press", 9, 30, 0);
+  first.racks = {{"r1"}};
+  PoolView second = first;
+  second.part = 1;
+  second.racks = {{"r2"}};
+  PoolView spare = Spare(8);
+  for (std::size_t i = 0; i < spare.movable.size(); ++i) {
+    spare.movable[i].rack = i == 2 ? "r2" : "r1";
+  }
+  planner_.Plan({first, second, spare}, now_);
+  now_ += seconds(1);
+  second.busy_cores = 280;
+  second.backlog_work = 900;
+  const auto moves = planner_.Plan({first, second, spare}, now_);
+  REQUIRE(Count(moves, "spare", "press") == 1);
+  CHECK(moves.front().machine == "spare2");
+}
+
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_OnePartIsCalm_KeepsItsOwnThird") {
+  PoolView first = Pool("fold", 9, 2, 0);
+  PoolView second = first;
+  second.part = 1;
+  for (std::uint32_t i = 4; i < 9; ++i) first.movable.push_back({"fold" + std::to_string(i)});
+  second.movable.clear();
+  planner_.Plan({Pool("press", 9, 30, 0), first, second, Spare(0)}, now_);
+  now_ += seconds(5);
+  const auto moves = planner_.Plan({Pool("press", 9, 280, 900), first, second, Spare(0)}, now_);
+  CHECK(Count(moves, "fold", "press") == 5);
+}
+
 TEST_CASE("ArrivalMeter_JobsLeaveTheWindow_TheirWorkGoesWithThem") {
   Instant now{std::chrono::hours(1)};
   ArrivalMeter meter;
