cells: room is kept for a lasting task that short tasks would keep away

Cause: a lasting task needs several times what a short one does. Change: a lasting task that found no room has what comes free on one runner kept for it, the one that lacks least, on at most one runner in four, and gives it up 0.5 s after it was last asked for. What may keep a task from a runner besides room stands in one function (MayHost). Ruled out: the order (it goes first already).

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -234,6 +234,8 @@
                        Instant now);
   std::string RackOfStep(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step);
   std::uint32_t RunsOfStep(const Runner& runner, const TaskId& task) const;
+  bool MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id, Instant now) const;
+  void KeepRoom(const JobEntry& entry, const TaskId& id, Instant now);
   void Start(JobEntry* entry, const TaskId& id, Runner* runner, RunNumber run, CellTime time);
   RunNumber NextRun(const JobEntry& entry, RunNumber last) const;
 
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -15,6 +15,11 @@
 constexpr RunNumber kRunsPerTenure = 1'000;
 /// All waiting jobs are ranked again this often: estimates move by a twentieth with each task.
 constexpr std::chrono::milliseconds kRankAll{1'000};
+/// Room that is kept for a task is asked for again every 200 ms; when the task has gone elsewhere
+/// the runner serves others again soon after.
+constexpr std::chrono::milliseconds kKeepRoom{500};
+/// One runner in so many may be kept, so that short tasks go on.
+constexpr std::size_t kKeptShare = 4;
 
 }  // namespace
 
@@ -97,7 +102,8 @@
 }
 
 void Cell::PlaceStep(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time) {
-  if (NoRoomFor(*entry, entry->job.spec().steps[step])) {
+  const bool lasting = entry->job.spec().steps[step].long_running;
+  if (!lasting && NoRoomFor(*entry, entry->job.spec().steps[step])) {
     return AskAdvisor(entry, occurrence, step, time.now);
   }
   const auto& tasks = entry->job.occurrences()[occurrence].steps[step].tasks;
@@ -105,6 +111,10 @@
     if (tasks[index].phase != TaskPhase::kWaiting || time.now < tasks[index].not_before) continue;
     const TaskId id{entry->job.id(), occurrence, step, index};
     Runner* runner = ChooseRunner(*entry, id, RackOfStep(*entry, occurrence, step), time.now);
+    if (runner == nullptr && lasting) {
+      KeepRoom(*entry, id, time.now);
+      continue;
+    }
     // The step's other tasks need as much.
     if (runner == nullptr) return AskAdvisor(entry, occurrence, step, time.now);
     Start(entry, id, runner, NextRun(*entry, tasks[index].last_run), time);
@@ -165,28 +175,34 @@
          full_shapes_.Covers(entry.job.policy().service, step.required_label, step.Load());
 }
 
+/// Whether nothing but room and the runner's own state can keep the task from it.
+bool Cell::MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id,
+                   Instant now) const {
+  const StepSpec& step = entry.job.spec().steps[id.step];
+  const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
+  if (runner.runs.contains(id)) return false;
+  if (task.failed_on == runner.key && runners_.size() > 1) return false;
+  if (step.most_per_runner > 0 && RunsOfStep(runner, id) >= step.most_per_runner) return false;
+  if (!entry.job.policy().advice) return true;
+  const StepAdmission* admission = FindAdmission(entry, id);
+  return admission != nullptr && admission->TicketFor(runner.key, now) != nullptr;
+}
+
 Runner* Cell::ChooseRunner(const JobEntry& entry, const TaskId& id, const std::string& rack,
                            Instant now) {
   const StepSpec& step = entry.job.spec().steps[id.step];
-  const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
   const std::string& service = entry.job.policy().service;
   const Resources load = step.Load();
-  const bool advised = entry.job.policy().advice.has_value();
-  const StepAdmission* admission = advised ? FindAdmission(entry, id) : nullptr;
   Runner* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   bool any_room = false;
   const auto consider = [&](Runner& runner) {
     if (runner.listing.service != service || !runner.Free().Holds(load)) return;
     if (!runner.IsOpen(now) || !runner.HasLabel(step.required_label)) return;
+    if (runner.KeptFromTask(id, now)) return;
     any_room = true;
-    if (runner.runs.contains(id)) return;
-    if (task.failed_on == runner.key && runners_.size() > 1) return;
-    const std::uint32_t runs_of_step = RunsOfStep(runner, id);
-    if (step.most_per_runner > 0 && runs_of_step >= step.most_per_runner) return;
-    if (advised && (admission == nullptr || admission->TicketFor(runner.key, now) == nullptr)) {
-      return;
-    }
+    if (!MayHost(entry, runner, id, now)) return;
+    const std::uint32_t runs_of_step = step.long_running ? RunsOfStep(runner, id) : 0;
     PlacementView view;
     view.capacity = runner.listing.capacity;
     view.free = runner.Free();
@@ -210,7 +226,44 @@
   return best;
 }
 
+/// Keeps what comes free on one runner for a lasting task that has found no room: short tasks would
+/// take it piece by piece, and the task would stay away for as long as the pool is full.
+void Cell::KeepRoom(const JobEntry& entry, const TaskId& id, Instant now) {
+  const StepSpec& step = entry.job.spec().steps[id.step];
+  const Resources load = step.Load();
+  Runner* best = nullptr;
+  double least_missing = std::numeric_limits<double>::infinity();
+  std::size_t kept = 0;
+  for (auto& [key, runner] : runners_) {
+    if (runner.kept_for && now < runner.kept_until) {
+      if (*runner.kept_for == id) {
+        runner.kept_until = now + kKeepRoom;
+        return;
+      }
+      ++kept;
+      continue;
+    }
+    if (runner.listing.service != entry.job.policy().service || !runner.IsOpen(now)) continue;
+    if (!runner.HasLabel(step.required_label) || !runner.FreeOfShortTasks().Holds(load)) continue;
+    if (!MayHost(entry, runner, id, now)) continue;
+    const double missing = MissingShare(runner.listing.capacity, runner.Free(), load);
+    if (missing < least_missing) {
+      least_missing = missing;
+      best = &runner;
+    }
+  }
+  if (best == nullptr || kept * kKeptShare >= runners_.size()) return;
+  best->kept_for = id;
+  best->kept_until = now + kKeepRoom;
+  LogDecision("keep_room", {{"job", std::string(id.job.text())},
+                            {"task", id.ToString()},
+                            {"runner", best->listing.id},
+                            {"missing_share", Concat(least_missing)},
+                            {"kept", Concat(kept + 1)}});
+}
+
 void Cell::Start(JobEntry* entry, const TaskId& id, Runner* runner, RunNumber run, CellTime time) {
+  if (runner->kept_for == id) runner->kept_for.reset();
   LiveRun live;
   live.run = run;
   live.load = entry->job.spec().steps[id.step].Load();
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -76,6 +77,8 @@
   bool watched = false;      ///< Fillers run beside serving tasks, or a lasting task comes up.
   Instant reserved_until{};  ///< Nothing starts here: its machine is due for upkeep.
   Instant released_until{};  ///< It was said that its machine may be taken down.
+  std::optional<TaskId> kept_for;  ///< A lasting task for which what comes free is kept ...
+  Instant kept_until{};            ///< ... until then.
 
   Resources Free() const {
     Resources free = listing.capacity;
@@ -107,6 +110,20 @@
            looks_failed == 0 && now >= blocked_until;
   }
 
+  /// What would be free if only its lasting tasks ran.
+  Resources FreeOfShortTasks() const {
+    Resources free = listing.capacity;
+    for (const auto& [task, run] : runs) {
+      if (run.lasting) free -= run.load;
+    }
+    return free;
+  }
+
+  /// Whether what is free is kept for another task.
+  bool KeptFromTask(const TaskId& task, Instant now) const {
+    return kept_for && now < kept_until && *kept_for != task;
+  }
+
   /// Whether it takes another start, if that fits.
   bool IsOpen(Instant now) const { return AcceptsStarts(now) && health.Admits(now); }
 };
--- a/scheduling/placement.h
+++ b/scheduling/placement.h
@@ -53,6 +53,16 @@
   return cost;
 }
 
+/// The share of a runner's capacity that must still come free for `load`, by the scarcer resource.
+inline double MissingShare(const Resources& capacity, const Resources& free,
+                           const Resources& load) {
+  const auto share = [](std::int64_t missing, std::int64_t all) {
+    return missing <= 0 || all <= 0 ? 0.0 : static_cast<double>(missing) / static_cast<double>(all);
+  };
+  return std::max(share(load.cpu_milli - free.cpu_milli, capacity.cpu_milli),
+                  share(load.memory_mb - free.memory_mb, capacity.memory_mb));
+}
+
 }  // namespace wigeonlane
 
 #endif  // WIGEONLANE_SCHEDULING_PLACEMENT_H_
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -63,18 +63,28 @@
   }
 
   /// Hands in a job of one step.
-  void Submit(const StepSpec& step, QueuePolicy policy = {}) {
+  void Submit(const StepSpec& step, QueuePolicy policy = {},
+              std::string_view id = "00000000000000a1") {
     JobRecord record;
     record.spec.steps = {step};
     record.policy = std::move(policy);
     record.policy.service = kService;
-    cell_->Submit(1, *JobId::Parse("00000000000000a1"), record, Time());
+    cell_->Submit(1, *JobId::Parse(id), record, Time());
   }
 
   std::string IdOf(RunnerKey key) const {
     return std::as_const(*cell_).FindRunner(key)->listing.id;
   }
 
+  /// The run that has been on a runner longest ends well.
+  void EndOldest(const std::string& runner) {
+    auto& runs = running_[runner];
+    if (runs.empty()) return;
+    ended_[runner].push_back(
+        {++last_end_[runner], runs.front().task, runs.front().run, RunEnd::kDone, ""});
+    runs.erase(runs.begin());
+  }
+
   /// All that runs ends well.
   void EndAll() {
     for (auto& [runner, runs] : running_) {
