instances: only owners follow the runners; fewer calls to the store

Change: an instance follows the runners from when it joins the group; one that stands by looks at the owners once a second; a read of the operator's records waits for half of ConfigApplyMs less 0.3 s (0.7 s where that is 2 s, as before, 1.7 s where it is 4 s). The division leaves the coordinator's cell to the machines while others are free. Ruled out: a longer read still, since a connection may go silent and the read must be repeated in time.

--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -20,6 +20,9 @@
 /// Number of a cell: the partition of the jobs topic.
 using CellNumber = std::uint32_t;
 
+/// Whoever owns this cell orders the machines as well.
+inline constexpr CellNumber kCoordinatorCell = 0;
+
 /// Fencing token of one tenure of a cell; later owners have higher ones.
 using TenureToken = std::uint64_t;
 
--- a/cells/division.cc
+++ b/cells/division.cc
@@ -18,9 +18,11 @@
   return count;
 }
 
-/// How many services have a cell already.
+/// How many services have a cell already. The owner of the coordinator's cell orders all machines,
+/// which counts like a service.
 std::vector<std::uint32_t> UsesOfCells(const Division& division, std::uint32_t cells) {
   std::vector<std::uint32_t> uses(cells, 0);
+  uses.at(kCoordinatorCell) = 1;
   for (const auto& [name, service] : division.services) {
     for (const CellNumber cell : service.cells) ++uses.at(cell);
   }
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -32,6 +32,8 @@
   std::function<void(CellNumber, std::function<void()> released)> lost;
   /// The store confirmed a renewal that was sent at this time.
   std::function<void(Instant sent)> renewed;
+  /// This instance joins the group, and may own cells from now on.
+  std::function<void()> joining = [] {};
 };
 
 struct OwnershipOptions {
@@ -55,7 +57,10 @@
   /// Joins the group and goes on renewing. A former life of this process may still be listed as
   /// the member: it leaves first, so that our tenures have a generation of their own.
   void Start() {
-    if (options_.capacity >= kAlwaysOwns) return Rejoin();
+    if (options_.capacity >= kAlwaysOwns) {
+      events_.joining();
+      return Rejoin();
+    }
     standby_ = true;
     StandByFor(kFirstStandby);
   }
@@ -143,7 +148,7 @@
   /// Instances start within 0.3 s of each other; the larger ones have joined by then.
   static constexpr std::chrono::milliseconds kFirstStandby{1'500};
   /// Between looks at the owners while standing by; a call that finds no owner looks as well.
-  static constexpr std::chrono::milliseconds kStandbyPoll{500};
+  static constexpr std::chrono::milliseconds kStandbyPoll{1'000};
   /// Larger instances must have been enough for this long before a smaller one stands down.
   static constexpr std::chrono::milliseconds kStandDownAfter{3'000};
 
@@ -174,6 +179,7 @@
                     {{"owned", Concat(owners_.size())}, {"capacity", Concat(options_.capacity)}});
         standby_ = false;
         enough_since_.reset();
+        events_.joining();
         Rejoin();
       });
     });
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -15,14 +15,14 @@
 constexpr std::string_view kGroup = "wigeonlane";
 constexpr std::string_view kConfigKey = "config";
 constexpr std::string_view kWavePrefix = "wave/";
-/// Whoever owns this cell orders the machines as well.
-constexpr CellNumber kCoordinatorCell = 0;
 /// Machines are ordered for this long after a renewal was sent, six times its period (250 ms). An
 /// outage of the store stops moves earlier than starts, and a successor waits less.
 constexpr std::chrono::milliseconds kMachineAuthority{1'500};
-/// The configuration must be in force 2 s after its acknowledgement (ConfigApplyMs); a read that
-/// hangs for longer than this and its margin is repeated on a new connection.
-constexpr std::chrono::milliseconds kOperatorWait{700};
+/// What a read of the operator's records and its repeat on a new connection take beyond their
+/// waits.
+constexpr std::chrono::milliseconds kOperatorMargin{600};
+/// The shortest wait of such a read, in which the store holds it until something changes.
+constexpr std::chrono::milliseconds kLeastOperatorWait{300};
 /// The balancer stops sending connections after two misses, one second apart.
 constexpr std::chrono::milliseconds kLinger{2'500};
 /// Longest wait for cells to store what they decided before the group is left.
@@ -33,6 +33,12 @@
 /// Between looks for services and racks that have no cell; a machine that moves comes up in 1.5 s.
 constexpr std::chrono::milliseconds kDivisionPeriod{250};
 
+/// A read that hangs is given up and repeated within the time in which a configuration must be in
+/// force, with as much left to spare.
+std::chrono::milliseconds OperatorWait(std::chrono::milliseconds config_bound) {
+  return std::max(config_bound / 2 - kOperatorMargin / 2, kLeastOperatorWait);
+}
+
 OwnershipOptions GroupOptions(const PlatformSettings& settings) {
   OwnershipOptions options;
   options.member.group = kGroup;
@@ -65,7 +71,7 @@
                   [this](CellNumber cell, std::function<void()> released) {
                     cells_.Lose(cell, std::move(released));
                   },
-                  [this](Instant sent) { TakeRenewal(sent); }}),
+                  [this](Instant sent) { TakeRenewal(sent); }, [this] { FollowRunners(); }}),
       cells_(
           &io_, [this](CellNumber cell, TenureToken token) { return MakeHost(cell, token); },
           [this](CellNumber cell, TenureToken token) {
@@ -78,8 +84,10 @@
            [this] {
              return coordinator_ == nullptr ? std::chrono::milliseconds(0) : coordinator_->Stop();
            }}),
-      operator_watch_(&io_, &store_, {"keyed.op", kOperatorWait, std::chrono::milliseconds(0)},
-                      [this](const std::set<std::string>& keys) { TakeOperatorChanges(keys); }),
+      operator_watch_(
+          &io_, &store_,
+          {"keyed.op", OperatorWait(settings_.config_bound), std::chrono::milliseconds(0)},
+          [this](const std::set<std::string>& keys) { TakeOperatorChanges(keys); }),
       directory_(&io_, &store_, [this] { UpdateRunners(); }),
       peers_(&io_,
              [this](const std::string& bytes, FrameServer::Reply reply) {
@@ -135,7 +143,6 @@
                       {"first_start", settings_.first_start ? "yes" : "no"}});
   WaitForSignal();
   operator_watch_.Start();
-  directory_.Start();
   divisions_.Start();
   ExtendDivision();
   ownership_.Start();
@@ -231,6 +238,11 @@
   for (const auto& [cell, host] : cells_.hosts()) GiveRunners(cell, host.get());
 }
 
+/// Only owners need the runners; an instance that stands by does not read their entries.
+void JobInstance::FollowRunners() {
+  if (!std::exchange(follows_runners_, true)) directory_.Start();
+}
+
 /// The owner of the coordinator's cell sees to it that every service and rack has a cell.
 void JobInstance::ExtendDivision() {
   if (cells_.Find(kCoordinatorCell) != nullptr && routes_.version() > 0) {
--- a/daemon/job_instance.h
+++ b/daemon/job_instance.h
@@ -51,6 +51,7 @@
   void TakeWaves();
   void TakeRenewal(Instant sent);
   std::unique_ptr<Host> MakeHost(CellNumber cell, TenureToken token);
+  void FollowRunners();
   void UpdateRunners();
   void ExtendDivision();
   void GiveRunners(CellNumber cell, Host* host);
@@ -93,6 +94,7 @@
   Instant shutdown_since_{};
   bool draining_ = false;
   bool left_ = false;
+  bool follows_runners_ = false;
 };
 
 }  // namespace wigeonlane
--- a/tests/cells/division_test.cc
+++ b/tests/cells/division_test.cc
@@ -56,6 +56,7 @@
     cells.insert(division.CellsOf(service).front());
   }
   CHECK(cells.size() == 3);
+  CHECK_FALSE(cells.contains(kCoordinatorCell));  // Its owner has the machines to order.
 }
 
 TEST_CASE_METHOD(DivisionTest, "ExtendDivision_LargeService_CellsHaveWholeRacksAndLikeNumbers") {
