--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -185,7 +185,8 @@
   /// All that is at hand is taken in before the cell decides, so that many answers cost one round.
   void PumpSoon() {
     if (std::exchange(pump_posted_, true)) return;
-    asio::post(timer_.get_executor(), [this, alive = std::weak_ptr<int>(alive_)] {
+    const std::weak_ptr<int> alive = alive_;
+    asio::post(timer_.get_executor(), [this, alive] {
       if (!alive.expired()) Pump();
     });
   }
--- a/cells/division.cc
+++ b/cells/division.cc
@@ -85,6 +85,14 @@
   return !missing.empty();
 }
 
+bool NamesKnownCells(const ServiceDivision& service, std::uint32_t cells) {
+  return !service.cells.empty() &&
+         std::all_of(service.cells.begin(), service.cells.end(),
+                     [&](CellNumber cell) { return cell < cells; }) &&
+         std::all_of(service.racks.begin(), service.racks.end(),
+                     [&](const auto& rack) { return rack.second < service.cells.size(); });
+}
+
 }  // namespace
 
 std::vector<CellNumber> Division::CellsOf(const std::string& service) const {
@@ -141,10 +149,7 @@
     return absl::InvalidArgumentError(Concat("division of the unknown form ", division->form));
   }
   for (const auto& [name, service] : division->services) {
-    const auto beyond = [&](CellNumber cell) { return cell >= cells; };
-    const auto outside = [&](const auto& rack) { return rack.second >= service.cells.size(); };
-    if (service.cells.empty() || std::any_of(service.cells.begin(), service.cells.end(), beyond) ||
-        std::any_of(service.racks.begin(), service.racks.end(), outside)) {
+    if (!NamesKnownCells(service, cells)) {
       return absl::InvalidArgumentError(Concat("division of '", name, "' names an unknown cell"));
     }
   }
