cells: a membership that could not be ended says so

Cause: reading the diff: the answer to leaving the group was dropped when an instance stands down; the margin of reads of the operator's records was named for something else. Change: a log line for it; OperatorWait says what it keeps free. Same waits as before. Conclusion: clean-up.

--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -199,9 +199,12 @@
     auto left = std::make_shared<std::size_t>(cells.size() + 1);
     const std::function<void()> released = [this, left] {
       if (--*left > 0 || leaving_) return;
-      store_->Leave(options_.member.group, options_.member.member, [this](const absl::Status&) {
-        if (!leaving_) StandByFor(kStandbyPoll);  // Not told: the membership ends by itself.
-      });
+      store_->Leave(options_.member.group, options_.member.member,
+                    [this](const absl::Status& status) {
+                      // A membership that could not be ended ends by itself.
+                      if (!status.ok()) LogWarning("leave_failed", {{"why", MessageOf(status)}});
+                      if (!leaving_) StandByFor(kStandbyPoll);
+                    });
     };
     for (const CellNumber cell : cells) events_.lost(cell, released);
     released();
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -18,10 +18,9 @@
 /// Machines are ordered for this long after a renewal was sent, six times its period (250 ms). An
 /// outage of the store stops moves earlier than starts, and a successor waits less.
 constexpr std::chrono::milliseconds kMachineAuthority{1'500};
-/// What a read of the operator's records and its repeat on a new connection take beyond their
-/// waits.
-constexpr std::chrono::milliseconds kOperatorMargin{600};
-/// The shortest wait of such a read, in which the store holds it until something changes.
+/// Kept free of the time in which a configuration must be in force, for the read that finds it.
+constexpr std::chrono::milliseconds kOperatorMargin{300};
+/// Below this the reads themselves would be a load on the store.
 constexpr std::chrono::milliseconds kLeastOperatorWait{300};
 /// The balancer stops sending connections after two misses, one second apart.
 constexpr std::chrono::milliseconds kLinger{2'500};
@@ -33,10 +32,11 @@
 /// Between looks for services and racks that have no cell; a machine that moves comes up in 1.5 s.
 constexpr std::chrono::milliseconds kDivisionPeriod{250};
 
-/// A read that hangs is given up and repeated within the time in which a configuration must be in
-/// force, with as much left to spare.
+/// How long the store may hold a read of the operator's records until one changes. A connection may
+/// go silent, so the read and its repeat must fit into the time in which a configuration must be in
+/// force.
 std::chrono::milliseconds OperatorWait(std::chrono::milliseconds config_bound) {
-  return std::max(config_bound / 2 - kOperatorMargin / 2, kLeastOperatorWait);
+  return std::max(config_bound / 2 - kOperatorMargin, kLeastOperatorWait);
 }
 
 OwnershipOptions GroupOptions(const PlatformSettings& settings) {
