cells: how long a takeover waits for silent runners is logged and counted

Change: event=cell_settled names the wait, the last runner and whether that answered; gauge wigeonlane_cell_unsettled_runners.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -119,6 +119,7 @@
   bool flushed() const { return commits_.idle() && dirty_.empty(); }
   /// Whether nothing of a predecessor can run that we do not know of.
   bool settled() const { return unsettled_.empty(); }
+  std::size_t unsettled_runners() const { return unsettled_.size(); }
 
   /// When a predecessor that handed the cell over in good order leaves its role to us; nothing when
   /// none did, and before its record is removed.
@@ -224,7 +225,7 @@
   void RankStale(Instant now);
   void RankJobAgain(const JobId& id, Instant now);
   void RankAllAgain() { stale_.insert(open_.begin(), open_.end()); }
-  void NoteSettled(RunnerKey key);
+  void NoteSettled(RunnerKey key, Instant now);
   void NoteOpenings(Runner* runner, Instant now);
   void PlaceJob(JobEntry* entry, CellTime time);
   void PlaceStep(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time);
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -37,7 +37,7 @@
   UpdatePace(runner, report);
   if (!runner->claimed) {
     runner->claimed = true;
-    NoteSettled(runner->key);
+    NoteSettled(runner->key, time.now);
     LogDecision("claim", {{"runner", runner->listing.id},
                           {"cell", Concat(number_)},
                           {"token", Concat(token_)},
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -130,7 +130,7 @@
   }
   const auto by_id = key_by_id_.find(runner->listing.id);
   if (by_id != key_by_id_.end() && by_id->second == key) key_by_id_.erase(by_id);
-  NoteSettled(key);
+  NoteSettled(key, time.now);
   opened_.erase(key);
   runners_.erase(key);
   StoreRoster();
@@ -138,8 +138,16 @@
 }
 
 /// The last of a predecessor's runners to be heard from lets the jobs it may have started go on.
-void Cell::NoteSettled(RunnerKey key) {
-  if (unsettled_.erase(key) > 0 && unsettled_.empty()) RankAllAgain();
+void Cell::NoteSettled(RunnerKey key, Instant now) {
+  if (unsettled_.erase(key) == 0 || !unsettled_.empty()) return;
+  const Runner* last = std::as_const(*this).FindRunner(key);
+  LogDecision("cell_settled",
+              {{"cell", Concat(number_)},
+               {"token", Concat(token_)},
+               {"after_ms", Concat(MillisOf(now - restored_at_))},
+               {"last_runner", last->listing.id},
+               {"last_answered", last->claimed ? "yes" : "no"}});
+  RankAllAgain();
 }
 
 /// Times pass without an event: a pause of a runner ends and steps that found no room fit again.
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -355,6 +355,7 @@
         {"ends_failed", counters.ends_failed},
         {"ends_other", counters.ends_other},
         {"runners_lost", counters.runners_lost},
+        {"unsettled_runners", host->cell()->unsettled_runners()},
         {"jobs", host->cell()->job_count()}};
     for (const auto& [name, value] : values) {
       metrics_.SetGauge(Concat("wigeonlane_cell_", name), label, static_cast<double>(value));
