--- /dev/null
+++ b/tests/cells/cell_takeover_test.cc
@@ -0,0 +1,49 @@
+/// How long a takeover keeps work away from sound runners.
+#include <catch2/catch.hpp>
+#include <chrono>
+
+#include "tests/cells/cell_world.h"
+
+namespace wigeonlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A lasting task may be away for this long (the platform's rule on lost tasks: 6 s, and 3 s more).
+constexpr milliseconds kLongestAway{9'000};
+/// From the last renewal of an owner that fell silent until its successor begins: the time to live
+/// of its membership (1 s), the period of the successor's renewals (0.25 s), and calls to the store.
+constexpr milliseconds kTakeover{1'600};
+/// Lasting: two tasks on runners of their own.
+constexpr std::size_t kLastingShape = 3;
+constexpr std::size_t kSound = 16;  ///< A fate without failures.
+
+class CellTakeoverTest {
+ protected:
+  /// Returns a runner that hosts one of the two tasks of the only job.
+  std::size_t StartLastingJob() {
+    world_.Submit(kLastingShape, kSound);
+    world_.Advance(milliseconds(2'000));
+    REQUIRE(world_.RunnersOf(0).size() == 2);
+    return world_.RunnersOf(0).front();
+  }
+
+  CellWorld world_;
+};
+
+// Guards against inc1 (LOST): owner and runner fell silent together, and the successor waited for
+// the runner longer than a lasting task may be away.
+TEST_CASE_METHOD(CellTakeoverTest, "LastingTask_OwnerAndRunnerSilentTogether_RunsAgainInTime") {
+  const std::size_t lost = StartLastingJob();
+  world_.KillOwner();
+  world_.CrashRunner(lost);
+  world_.Advance(kTakeover);
+  world_.TakeOver(true);
+  world_.Advance(kLongestAway - kTakeover);
+  CHECK(world_.RunnersOf(0).size() == 2);
+  INFO(world_.broken());
+  CHECK(world_.broken().empty());
+}
+
+}  // namespace
+}  // namespace wigeonlane
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -441,8 +441,10 @@
   });
 }
 
+void CellWorld::KillOwner() { owners_.back()->alive = false; }
+
 void CellWorld::TakeOver(bool former_killed) {
-  if (former_killed) owners_.back()->alive = false;
+  if (former_killed) KillOwner();
   StartOwner(owners_.back()->token + kTokenStep);
 }
 
@@ -498,6 +500,17 @@
 void CellWorld::LoseAppendAnswers(std::size_t count) { lost_appends_ = count; }
 void CellWorld::StoreDown(milliseconds duration) { store_.down_until = now_ + duration; }
 
+std::vector<std::size_t> CellWorld::RunnersOf(std::size_t job) const {
+  std::vector<std::size_t> hosts;
+  for (std::size_t i = 0; i < runners_.size(); ++i) {
+    if (!runners_[i].alive) continue;
+    for (const ListedRun& row : runners_[i].Report(now_).running) {
+      if (row.task.job == submitted_[job].id) hosts.push_back(i);
+    }
+  }
+  return hosts;
+}
+
 void CellWorld::SettleAndCheck() {
   late_orders_ = lost_appends_ = 0;
   for (SimRunner& runner : runners_) {
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -36,6 +36,8 @@
   void Repeat(std::size_t which);
   void Cancel(std::size_t which);
 
+  /// The owner ends without a word. Nobody owns the cell until it is taken over.
+  void KillOwner();
   /// Another instance takes the cell over. The former owner is killed, or goes on without renewals.
   void TakeOver(bool former_killed);
   /// The owner hands the cell over in good order; its successor begins once all is stored, or
@@ -61,6 +63,8 @@
   void SettleAndCheck();
 
   std::size_t jobs() const { return submitted_.size(); }
+  /// Where tasks of a job run, by index of the runner; one entry for each run.
+  std::vector<std::size_t> RunnersOf(std::size_t job) const;
   const Cell* cell() const;
 
  private:
