cells: no lease lasts longer than 5.8 s after the last renewal of its owner

Cause: leases of 5 s were granted up to 3 s after the last confirmed renewal, so a successor had to wait 8.3 s for a runner that it could not reach. With the 1.0 to 1.6 s until the takeover that is more than the 9 s that a lasting task may be away. The class: a bound that adds up the longest of each part although no owner can use them all and the callers' bound is shorter. Change: the deadline of a lease is capped by the last renewal (CellOptions::lease_reach), so the successor's wait is counted from the same event. Ruled out: the list of machines or a closed port as proof that a runner ended (docs/DESIGN.md). Runs now lapse in outages of the store of more than about 5 s instead of 7.5 s.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -177,6 +177,10 @@
   bool HasAuthority(Instant now) const {
     return !deposed_ && !handover_stands_ && now < authority_until_;
   }
+  /// No lease may last longer: a successor relies on it.
+  Instant LeaseLimit() const {
+    return authority_until_ + (options_.lease_reach - options_.authority);
+  }
   JobEntry* FindJob(const JobId& id);
   void Answer(CallNumber call, CallAnswer answer);
   BatchNumber MarkDirty(JobEntry* entry);
--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -6,10 +6,11 @@
 
 namespace wigeonlane {
 
-/// All periods of one cell. An owner extends leases only while it has authority, which ends
-/// `authority` after the last renewal that the store confirmed was sent. A lease ends at most
-/// `lease / slowest_clock` after it was granted. So a successor may assume that nothing of its
-/// predecessor runs on a runner it cannot reach once `PredecessorBound()` has passed.
+/// All periods of one cell. An owner starts work only while it has authority, which ends
+/// `authority` after the last renewal that the store confirmed was sent, and grants no lease that
+/// lasts longer than `lease_reach` after that renewal. Renewals are not confirmed once the cell is
+/// another's. So a successor may assume that nothing of its predecessor runs on a runner it cannot
+/// reach `lease_reach` after it was dealt the cell.
 struct CellOptions {
   /// Leases survive a takeover (about 1.5 s) and bound how long a lost runner blocks its tasks.
   std::chrono::milliseconds lease{5'000};
@@ -17,8 +18,12 @@
   std::chrono::milliseconds longest_lease{10'000};
   /// The longest that the platform holds an order up before it is carried out (12 s), and more.
   std::chrono::milliseconds longest_delay{13'000};
-  /// Longest outage of the store through which an owner goes on starting and extending work.
+  /// Longest outage of the store through which an owner goes on starting work.
   std::chrono::milliseconds authority{3'000};
+  /// Runs outlive outages of the store that are somewhat shorter than this (the platform's last
+  /// about 4.5 s). With the takeover (about 1.6 s) it stays below the time that a lasting task may
+  /// be away (the platform's rule on lost tasks: 9 s).
+  std::chrono::milliseconds lease_reach{5'800};
   /// Share of true time that the slowest runner's clock counts (platform: 2% slow).
   double slowest_clock = 0.98;
   /// Covers the round trip and the rounding of clocks to milliseconds.
@@ -53,8 +58,6 @@
   /// Longest time that a stopped task takes to go, a bound of the platform's.
   std::chrono::milliseconds stop_grace{900};
 
-  std::chrono::milliseconds PredecessorBound() const { return authority + RealTime(lease); }
-
   /// How long a lease on a new life may last when orders to its former life may reach it: their
   /// deadlines are on the former clock and mean nothing there.
   std::chrono::milliseconds StrayLeaseBound() const {
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -95,7 +95,7 @@
     Runner* runner = AddRunner(listing, time.now);
     runner->rostered = true;
     runner->listed = false;
-    runner->predecessor_end = time.now + options_.PredecessorBound();
+    runner->predecessor_end = time.now + options_.lease_reach;
     runner->lease_end = runner->predecessor_end;
     unsettled_.insert(runner->key);
   }
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -211,7 +211,8 @@
   // A look that is not answered may extend the lease all the same. A silent runner is asked without
   // a lease, so that the one it has runs out and its tasks can be placed elsewhere.
   if (runner->claimed && runner->looks_failed == 0 && HasAuthority(time.now)) {
-    look.lease = runner->EstimatedClock(time.now) + options_.lease;
+    look.lease = std::min(runner->EstimatedClock(time.now) + options_.lease,
+                          runner->LatestDeadline(LeaseLimit(), options_));
     runner->GrantLease(*look.lease, options_);
   }
   if (runner->claimed && runner->looks_failed == 0 && !runner->runs.empty()) {
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -276,7 +276,8 @@
   order.runner = runner->key;
   order.task = id;
   order.run = run;
-  order.deadline = runner->EstimatedClock(time.now) + options_.start_validity;
+  order.deadline = std::min(runner->EstimatedClock(time.now) + options_.start_validity,
+                            runner->LatestDeadline(LeaseLimit(), options_));
   order.checkpoint = entry->job.FindTask(id)->checkpoint;
   order.payload = entry->job.spec().payload;
   if (const StepAdmission* admission = FindAdmission(*entry, id)) {
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -91,6 +91,12 @@
     return clock + std::chrono::duration_cast<RunnerClock>(now - clock_at);
   }
 
+  /// The latest deadline on the runner's clock that is over by `limit`, should the clock be slow.
+  RunnerClock LatestDeadline(Instant limit, const CellOptions& options) const {
+    const std::chrono::duration<double, std::milli> left = limit - options.slack - clock_at;
+    return clock + std::chrono::floor<RunnerClock>(left * options.slowest_clock);
+  }
+
   /// Notes a grant that ends at `deadline` on the runner's clock.
   void GrantLease(RunnerClock deadline, const CellOptions& options) {
     const auto longest =
--- a/tests/cells/cell_takeover_test.cc
+++ b/tests/cells/cell_takeover_test.cc
@@ -45,5 +45,25 @@
   CHECK(world_.broken().empty());
 }
 
+/// An owner that lost the store goes on, and it alone reaches the runners of a job, so that nothing
+/// tells it of its successor. That one begins at once, as after the store dealt all cells anew.
+TEST_CASE("Lease_OwnerWithoutStoreReachesRunnersAlone_EndsBeforeSuccessorStartsAgain") {
+  constexpr milliseconds kStep{100};
+  for (milliseconds cut_after{0}; cut_after < milliseconds(2'000); cut_after += kStep) {
+    CellWorld world;
+    world.Submit(kLastingShape, kSound);
+    world.Advance(milliseconds(2'000) + cut_after);
+    REQUIRE(world.RunnersOf(0).size() == 2);
+    for (const std::size_t host : world.RunnersOf(0)) {
+      world.CutRunnerFromSuccessors(host, milliseconds(15'000));
+    }
+    world.TakeOver(false);
+    world.Advance(milliseconds(15'000));
+    INFO(cut_after.count() << " ms: " << world.broken());
+    CHECK(world.broken().empty());
+    CHECK(world.RunnersOf(0).size() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace wigeonlane
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -260,14 +260,11 @@
   return AppendResult::kStored;
 }
 
-SimRunner* CellWorld::Reach(const Runner* listed, bool* wrong_life) {
-  *wrong_life = false;
-  if (listed == nullptr) return nullptr;
-  for (SimRunner& runner : runners_) {
-    if (runner.listing.id != listed->listing.id) continue;
-    return runner.alive && now_ >= runner.cut_until ? &runner : nullptr;
-  }
-  return nullptr;
+bool CellWorld::IsCut(std::size_t owner, const SimRunner& runner) const {
+  if (now_ < runner.cut_until) return true;
+  const auto cut = one_sided_cuts_.find(runner.listing.id);
+  return cut != one_sided_cuts_.end() && owner >= cut->second.first_owner &&
+         now_ < cut->second.until;
 }
 
 void CellWorld::SendStart(std::size_t index, const StartOrder& order) {
@@ -293,7 +290,7 @@
   After(delay, [=, this] {
     for (SimRunner& runner : runners_) runner.Advance(now_, &oracle_);
     for (SimRunner& runner : runners_) {
-      if (runner.listing.id != id || !runner.alive || now_ < runner.cut_until) continue;
+      if (runner.listing.id != id || !runner.alive || IsCut(index, runner)) continue;
       if (!late && (sent_to != known || sent_to != runner.listing.born)) {
         // The connection broke with the life it led to, or a new one is asked first which it is.
         const bool asked = sent_to != known;
@@ -332,9 +329,9 @@
     });
   };
   After(kOrderTimeout, [answer] { answer({OrderAnswer::kUnanswered, {}}); });
-  After(late ? kLateLeast : milliseconds(1), [this, id, order, fence, late, known, answer] {
+  After(late ? kLateLeast : milliseconds(1), [this, index, id, order, fence, late, known, answer] {
     for (SimRunner& runner : runners_) {
-      if (runner.listing.id != id || !runner.alive || now_ < runner.cut_until) continue;
+      if (runner.listing.id != id || !runner.alive || IsCut(index, runner)) continue;
       if (!late && runner.listing.born == known) runner.NoteAddressed();
       const OrderAnswer result = runner.Stop(fence, order, now_, &oracle_);
       const RunnerClock clock = runner.Clock(now_);
@@ -354,7 +351,7 @@
     const bool addressed = listed->listing.born == born;
     const FenceToken fence = owners_[index]->cell->FenceOf(order.runner);
     After(milliseconds(1), [=, this] {
-      const bool reached = runners_[i].listing.born == born && now_ >= runners_[i].cut_until;
+      const bool reached = runners_[i].listing.born == born && !IsCut(index, runners_[i]);
       if (addressed && reached) runners_[i].NoteAddressed();
       AnswerLook(index, order, {i, born, fence, same_life, now_ + order.wait});
     });
@@ -371,7 +368,7 @@
       Pump(index);
     });
   };
-  if (!runner.alive || now_ < runner.cut_until || runner.listing.born != look.born) {
+  if (!runner.alive || IsCut(index, runner) || runner.listing.born != look.born) {
     return After(kOrderTimeout, [told] { told(OrderAnswer::kUnanswered, {}); });
   }
   LookOrder sent = order;
@@ -482,6 +479,11 @@
   runners_[which % runners_.size()].cut_until = now_ + duration;
 }
 
+void CellWorld::CutRunnerFromSuccessors(std::size_t which, milliseconds duration) {
+  one_sided_cuts_[runners_[which % runners_.size()].listing.id] = {owners_.size(),
+                                                                   now_ + duration};
+}
+
 void CellWorld::DrainRunner(std::size_t which) {
   runners_[which % runners_.size()].listing.draining = true;
 }
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -50,6 +50,8 @@
   /// A new life under the same id, in which nothing is known of before.
   void RestartRunner(std::size_t which);
   void CutRunner(std::size_t which, std::chrono::milliseconds duration);
+  /// Owners that begin after this one cannot reach the runner; this one can.
+  void CutRunnerFromSuccessors(std::size_t which, std::chrono::milliseconds duration);
   void DrainRunner(std::size_t which);
   /// Nothing new starts on the runner for a while.
   void ReserveRunner(std::size_t which);
@@ -96,6 +98,12 @@
     Instant until{};
   };
 
+  /// Owners of this number and later ones cannot reach the runner.
+  struct OneSidedCut {
+    std::size_t first_owner = 0;
+    Instant until{};
+  };
+
   struct Submitted {
     JobId id;
     JobRecord record;
@@ -120,7 +128,7 @@
   void SendStop(std::size_t owner, const StopOrder& order);
   void SendLook(std::size_t owner, const LookOrder& order);
   void AnswerLook(std::size_t owner, const LookOrder& order, const OpenLook& look);
-  SimRunner* Reach(const Runner* listed, bool* wrong_life);
+  bool IsCut(std::size_t owner, const SimRunner& runner) const;
   std::vector<RunnerListing> Listings() const;
   void ListRunners();
   void Hand(std::size_t owner, const Submitted& job);
@@ -130,6 +138,7 @@
   std::vector<std::unique_ptr<Owner>> owners_;
   Store store_;
   std::vector<SimRunner> runners_;
+  std::map<std::string, OneSidedCut> one_sided_cuts_;  ///< By runner id.
   JobOracle oracle_;
   std::vector<Submitted> submitted_;
   CallNumber last_call_ = 0;
