cells: a silent runner holds back inherited jobs of its own service only

Cause: the successor waited for all runners of the stored roster before any inherited job went on, also for runners of services that never run that job. Class: one silent part holds back what has nothing to do with it. Change: UnsettledRunners counts them by service; the service is the one that the roster names, also for the next life under an id. Evidence: cell_takeover_test, InheritedJob_SilentRunnerOfAnotherService_GoesOn: 0 starts before, 1 now; its counterpart shows that jobs of the same service still wait for the leases. Not mended: jobs of the same service still wait for one silent runner, since placements are not stored.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -23,6 +23,7 @@
 #include "cells/cell_types.h"
 #include "cells/commit_queue.h"
 #include "cells/runner.h"
+#include "cells/unsettled_runners.h"
 #include "jobs/job_progress.h"
 #include "scheduling/arrival_meter.h"
 #include "scheduling/estimate_model.h"
@@ -181,6 +182,10 @@
   Instant LeaseLimit() const {
     return authority_until_ + (options_.lease_reach - options_.authority);
   }
+  /// Whether tasks of the job may run where nobody has looked since the takeover.
+  bool HeldBack(const JobEntry& entry) const {
+    return entry.inherited && unsettled_.HoldsBack(entry.job.policy().service);
+  }
   JobEntry* FindJob(const JobId& id);
   void Answer(CallNumber call, CallAnswer answer);
   BatchNumber MarkDirty(JobEntry* entry);
@@ -269,7 +274,7 @@
   std::map<RunnerKey, Runner> runners_;
   std::unordered_map<std::string, RunnerKey> key_by_id_;
   std::unordered_map<std::string, std::vector<UnansweredStart>> unanswered_;  ///< By runner id.
-  std::unordered_set<RunnerKey> unsettled_;  ///< Predecessor's runners not heard from yet.
+  UnsettledRunners unsettled_;
   RunnerKey last_key_ = kNoRunner;
   bool schedule_wanted_ = false;
   WaitingJobs waiting_;
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -97,7 +97,7 @@
     runner->listed = false;
     runner->predecessor_end = time.now + options_.lease_reach;
     runner->lease_end = runner->predecessor_end;
-    unsettled_.insert(runner->key);
+    unsettled_.Add(runner->key, listing.service);
   }
 }
 
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -91,7 +91,7 @@
   Runner* runner = AddRunner(listing, time.now);
   // Orders of a predecessor may have reached the new life as well.
   if (unsettled_.contains(old_key)) {
-    unsettled_.insert(runner->key);
+    unsettled_.AddNextLife(old_key, runner->key);
     runner->predecessor_end = FindRunner(old_key)->predecessor_end;
   }
   for (auto& [task, run] : unanswered) {
@@ -137,16 +137,17 @@
   schedule_wanted_ = true;
 }
 
-/// The last of a predecessor's runners to be heard from lets the jobs it may have started go on.
+/// The last of a service's runners to be heard from lets the jobs go on that a predecessor may have
+/// started on it.
 void Cell::NoteSettled(RunnerKey key, Instant now) {
-  if (unsettled_.erase(key) == 0 || !unsettled_.empty()) return;
+  if (!unsettled_.Remove(key)) return;
   const Runner* last = std::as_const(*this).FindRunner(key);
-  LogDecision("cell_settled",
-              {{"cell", Concat(number_)},
-               {"token", Concat(token_)},
-               {"after_ms", Concat(MillisOf(now - restored_at_))},
-               {"last_runner", last->listing.id},
-               {"last_answered", last->claimed ? "yes" : "no"}});
+  LogDecision("cell_settled", {{"cell", Concat(number_)},
+                               {"token", Concat(token_)},
+                               {"service", last->listing.service},
+                               {"after_ms", Concat(MillisOf(now - restored_at_))},
+                               {"last_runner", last->listing.id},
+                               {"last_answered", last->claimed ? "yes" : "no"}});
   RankAllAgain();
 }
 
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -42,7 +42,7 @@
 void Cell::RankJobAgain(const JobId& id, Instant now) {
   const JobEntry* entry = FindJob(id);
   const bool waits = entry != nullptr && entry->accepted && !IsFinal(entry->job.state()) &&
-                     (!entry->inherited || settled()) && entry->job.ReadyTasks() > 0;
+                     !HeldBack(*entry) && entry->job.ReadyTasks() > 0;
   if (!waits) return waiting_.Remove(id);
   const Job& job = entry->job;
   const double ratio = estimates_.Ratio(job.policy().name);
--- a/tests/cells/cell_takeover_test.cc
+++ b/tests/cells/cell_takeover_test.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 
 #include "tests/cells/cell_world.h"
+#include "tests/cells/scripted_cell.h"
 
 namespace wigeonlane {
 namespace {
@@ -12,7 +13,8 @@
 /// A lasting task may be away for this long (the platform's rule on lost tasks: 6 s, and 3 s more).
 constexpr milliseconds kLongestAway{9'000};
 /// From the last renewal of an owner that fell silent until its successor begins: the time to live
-/// of its membership (1 s), the period of the successor's renewals (0.25 s), and calls to the store.
+/// of its membership (1 s), the period of the successor's renewals (0.25 s), and calls to the
+/// store.
 constexpr milliseconds kTakeover{1'600};
 /// Lasting: two tasks on runners of their own.
 constexpr std::size_t kLastingShape = 3;
@@ -65,5 +67,44 @@
   }
 }
 
+/// A job whose tasks fill a runner each, and one more of them than there are runners for it. A
+/// runner falls silent as the cell changes hands; after that all runs end on the others.
+class SilentRunnerTest : protected ScriptedCell {
+ protected:
+  static constexpr Resources kRoom{8'000, 8'000, 0};
+  static constexpr milliseconds kMoment{500};
+
+  void TakeOverWithSilentRunner(const std::string& its_service, std::uint32_t tasks) {
+    service_of_[RunnerName(1)] = its_service;
+    StepSpec step;
+    step.count = tasks;
+    step.need = kRoom;
+    Begin(2, kRoom);
+    Pass(kMoment);
+    Submit(step);
+    Pass(kMoment);
+    REQUIRE(starts_.size() == tasks - 1);
+    starts_.clear();
+    silent_.insert(RunnerName(1));
+    Begin(2, kRoom);
+    Pass(kMoment);
+    EndAll();
+    Pass(kMoment);
+  }
+};
+
+// Guards against inc1 (SHORT): one silent runner held back the jobs of all services of its cell.
+TEST_CASE_METHOD(SilentRunnerTest, "InheritedJob_SilentRunnerOfAnotherService_GoesOn") {
+  TakeOverWithSilentRunner("fold", 2);
+  CHECK(starts_.size() == 1);
+}
+
+TEST_CASE_METHOD(SilentRunnerTest, "InheritedJob_SilentRunnerOfItsService_WaitsForItsLeases") {
+  TakeOverWithSilentRunner(std::string(kService), 3);
+  CHECK(starts_.empty());
+  Pass(CellOptions().lease_reach);
+  CHECK(starts_.size() == 1);
+}
+
 }  // namespace
 }  // namespace wigeonlane
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -480,8 +480,7 @@
 }
 
 void CellWorld::CutRunnerFromSuccessors(std::size_t which, milliseconds duration) {
-  one_sided_cuts_[runners_[which % runners_.size()].listing.id] = {owners_.size(),
-                                                                   now_ + duration};
+  one_sided_cuts_[runners_[which % runners_.size()].listing.id] = {owners_.size(), now_ + duration};
 }
 
 void CellWorld::DrainRunner(std::size_t which) {
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -37,7 +38,8 @@
     for (std::size_t i = 0; i < runners; ++i) {
       RunnerListing listing;
       listing.id = RunnerName(i);
-      listing.service = kService;
+      const auto other = service_of_.find(listing.id);
+      listing.service = other == service_of_.end() ? kService : other->second;
       listing.capacity = capacity;
       listing.born = kBorn;
       listings.push_back(listing);
@@ -68,7 +70,7 @@
     JobRecord record;
     record.spec.steps = {step};
     record.policy = std::move(policy);
-    record.policy.service = kService;
+    if (record.policy.service.empty()) record.policy.service = kService;
     cell_->Submit(1, *JobId::Parse(id), record, Time());
   }
 
@@ -110,6 +112,8 @@
   TenureToken token_ = 0;
   std::unique_ptr<Cell> cell_;
   bool store_answers_ = true;
+  std::map<std::string, std::string> service_of_;  ///< By runner id, where it is not `kService`.
+  std::set<std::string> silent_;                   ///< Runners that answer no look.
   std::map<std::string, std::string> stored_;
   std::map<std::string, std::vector<ListedRun>> running_;  ///< By runner id.
   std::map<std::string, std::vector<ListedEnd>> ended_;    ///< Not told to be forgotten, likewise.
@@ -145,6 +149,7 @@
   void Answer(const LookOrder& look) {
     looks_.push_back(look);
     const std::string id = IdOf(look.runner);
+    if (silent_.contains(id)) return cell_->Looked(look, OrderAnswer::kUnanswered, {}, Time());
     std::erase_if(ended_[id],
                   [&](const ListedEnd& end) { return end.number <= look.forget_up_to; });
     RunnerReport report;
