cells: a runner that was cut off longer than its leases is used again when it can be reached

Callers saw: work that waited although runners were there. Cause: a silent runner is dropped when its leases have ended, and only a change of the list brought it back. Discovery tells of changes only; a runner that is cut off from us but not from the store has none. Change: a dropped runner that is still listed is taken up again as one that has not been heard from. Evidence: Runners_CutLongerThanTheirLeasesAndListed_AreUsedAgain: 0 of 4 runners known 2 s after a cut of 7 s and LOST before, 4 of 4 and every job ended after.

--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -1,5 +1,6 @@
 /// Runners of a cell: discovery, lives, looks and losses.
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "cells/cell.h"
@@ -188,7 +189,14 @@
     if (runner.stopping_runs > 0) AdvanceStops(&runner, time);
     MaybeLook(&runner, time);
   }
-  for (const RunnerKey key : lost) LoseRunner(key, "silent until its lease ended", time);
+  for (const RunnerKey key : lost) {
+    const Runner& runner = runners_.at(key);
+    // Discovery tells of changes only: one that it still lists must be asked on, or it is never
+    // used again once it can be reached.
+    const auto listing = runner.listed ? std::optional(runner.listing) : std::nullopt;
+    LoseRunner(key, "silent until its lease ended", time);
+    if (listing) AddRunner(*listing, time.now);
+  }
 }
 
 void Cell::AdvanceStops(Runner* runner, CellTime time) {
--- a/tests/cells/cell_world_test.cc
+++ b/tests/cells/cell_world_test.cc
@@ -221,5 +221,24 @@
   CHECK(world_.broken().empty());
 }
 
+// Guards against runners that were never used again (LOST): cut off until their leases had ended,
+// but listed all the while, so that discovery had nothing to tell.
+TEST_CASE_METHOD(CellWorldTest, "Runners_CutLongerThanTheirLeasesAndListed_AreUsedAgain") {
+  constexpr std::size_t kRunners = 4;
+  world_.Advance(milliseconds(500));
+  for (std::size_t job = 0; job < 6; ++job) world_.Submit(2, 16 + job);
+  world_.Advance(milliseconds(150));
+  for (std::size_t runner = 0; runner < kRunners; ++runner) {
+    world_.CutRunner(runner, milliseconds(7'000));
+  }
+  world_.Advance(milliseconds(9'000));
+  for (std::size_t runner = 0; runner < kRunners; ++runner) {
+    CHECK(world_.cell()->FindRunnerById("runner-" + std::to_string(runner)) != nullptr);
+  }
+  world_.SettleAndCheck();
+  INFO(world_.broken());
+  CHECK(world_.broken().empty());
+}
+
 }  // namespace
 }  // namespace wigeonlane
