cells: a task may start again where it failed, after a second

Cause: a task never started again on the runner where it had failed, as long as the cell had any other runner, even one that could not take it: one task a runner, a label, another service. Change: it goes elsewhere for one second; after that the runner counts like any other. Runners that fail whatever they start are told apart by RunnerHealth as before. Ruled out: only a higher cost without a pause (a failing task would use up its attempts on one bad runner).

--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -132,6 +132,7 @@
     runner->health.NoteFailure(end.task.job, time.now);
   }
   task->failed_on = runner->key;
+  task->failed_at = time.now;
   if (entry->job.spec().steps[end.task.step].long_running) PauseRestart(task, ordered, time.now);
   const std::uint32_t failures = task->failures();
   const bool job_failed = entry->job.MarkFailed(end.task, end.run);
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds kKeepRoom{500};
 /// One runner in so many may be kept, so that short tasks go on.
 constexpr std::size_t kKeptShare = 4;
+/// A task that failed on a runner goes elsewhere for this long. Others may never have a place for
+/// it, and a lasting task may be away for 9 s at most (the platform's rule on lost tasks).
+constexpr std::chrono::milliseconds kFailedThere{1'000};
 
 }  // namespace
 
@@ -181,7 +184,7 @@
   const StepSpec& step = entry.job.spec().steps[id.step];
   const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
   if (runner.runs.contains(id)) return false;
-  if (task.failed_on == runner.key && runners_.size() > 1) return false;
+  if (task.failed_on == runner.key && now < task.failed_at + kFailedThere) return false;
   if (step.most_per_runner > 0 && RunsOfStep(runner, id) >= step.most_per_runner) return false;
   if (!entry.job.policy().advice) return true;
   const StepAdmission* admission = FindAdmission(entry, id);
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -48,7 +48,8 @@
   TaskPhase phase = TaskPhase::kWaiting;
   RunNumber last_run = 0;             ///< Highest run number known to have been used.
   RunnerKey runner = kNoRunner;       ///< Where it is placed.
-  RunnerKey failed_on = kNoRunner;    ///< Where it failed last; avoided at the next start.
+  RunnerKey failed_on = kNoRunner;    ///< Where it failed last ...
+  Instant failed_at{};                ///< ... and when; avoided at the next start for a while.
   std::string checkpoint;             ///< Latest saved progress; empty when none.
   Instant not_before{};               ///< No start before this: it failed again and again.
   std::uint32_t failures_in_row = 0;  ///< Of a task that lasts, each soon after its start.
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -38,6 +38,9 @@
     for (std::size_t i = 0; i < runners; ++i) {
       RunnerListing listing;
       listing.id = RunnerName(i);
+      const auto label = label_of_.find(listing.id);
+      if (label != label_of_.end()) listing.labels = {label->second};
+      listing.draining = draining_.contains(listing.id);
       const auto other = service_of_.find(listing.id);
       listing.service = other == service_of_.end() ? kService : other->second;
       listing.capacity = capacity;
@@ -87,6 +90,15 @@
     runs.erase(runs.begin());
   }
 
+  /// The run that has been on a runner longest fails.
+  void FailOldest(const std::string& runner) {
+    auto& runs = running_[runner];
+    if (runs.empty()) return;
+    ended_[runner].push_back(
+        {++last_end_[runner], runs.front().task, runs.front().run, RunEnd::kFailed, ""});
+    runs.erase(runs.begin());
+  }
+
   /// All that runs ends well.
   void EndAll() {
     for (auto& [runner, runs] : running_) {
@@ -113,6 +125,8 @@
   std::unique_ptr<Cell> cell_;
   bool store_answers_ = true;
   std::map<std::string, std::string> service_of_;  ///< By runner id, where it is not `kService`.
+  std::map<std::string, std::string> label_of_;    ///< By runner id, where it has one.
+  std::set<std::string> draining_;                 ///< Runners that are listed as draining.
   std::set<std::string> silent_;                   ///< Runners that answer no look.
   std::map<std::string, std::string> stored_;
   std::map<std::string, std::vector<ListedRun>> running_;  ///< By runner id.
