cells: room is not kept on a runner that takes nothing any more

Callers saw: a lasting task that waits although another runner comes free (found by the review of hand-overs). Cause: the runner for which room was kept was asked for again every 200 ms without looking whether it still takes starts; a draining, reserved, suspect or silent one kept the task to itself. Change: the conditions of the choice are asked again; otherwise another runner is chosen at once.

--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -237,18 +237,25 @@
   Runner* best = nullptr;
   double least_missing = std::numeric_limits<double>::infinity();
   std::size_t kept = 0;
+  const auto may_come_free = [&](const Runner& runner) {
+    return runner.listing.service == entry.job.policy().service && runner.IsOpen(now) &&
+           runner.HasLabel(step.required_label) && runner.FreeOfShortTasks().Holds(load) &&
+           MayHost(entry, runner, id, now);
+  };
   for (auto& [key, runner] : runners_) {
     if (runner.kept_for && now < runner.kept_until) {
-      if (*runner.kept_for == id) {
+      if (*runner.kept_for != id) {
+        ++kept;
+        continue;
+      }
+      if (may_come_free(runner)) {
         runner.kept_until = now + kKeepRoom;
         return;
       }
-      ++kept;
+      runner.kept_for.reset();
       continue;
     }
-    if (runner.listing.service != entry.job.policy().service || !runner.IsOpen(now)) continue;
-    if (!runner.HasLabel(step.required_label) || !runner.FreeOfShortTasks().Holds(load)) continue;
-    if (!MayHost(entry, runner, id, now)) continue;
+    if (!may_come_free(runner)) continue;
     const double missing = MissingShare(runner.listing.capacity, runner.Free(), load);
     if (missing < least_missing) {
       least_missing = missing;
--- a/tests/cells/cell_lasting_room_test.cc
+++ b/tests/cells/cell_lasting_room_test.cc
@@ -95,5 +95,26 @@
   CHECK(starts_.size() >= before + 11);
 }
 
+// Guards against a lasting task that waits for room on a runner that takes nothing any more.
+TEST_CASE_METHOD(CellLastingRoomTest, "KeepRoom_ItsRunnerBeginsToDrain_RoomIsKeptOnAnother") {
+  Fill();
+  SubmitLasting(1);
+  const auto kept_on = [this] {
+    for (std::size_t runner = 0; runner < 3; ++runner) {
+      if (cell_->FindRunnerById(RunnerName(runner))->kept_for) return RunnerName(runner);
+    }
+    return std::string();
+  };
+  const std::string first = kept_on();
+  REQUIRE_FALSE(first.empty());
+  draining_.insert(first);
+  ListRunners(3, {kCores, 64'000, 0});
+  Pass(milliseconds(300));
+  CHECK_FALSE(kept_on().empty());
+  CHECK(kept_on() != first);
+  EndOneByOne(8);
+  CHECK(LastingStarts() == 1);
+}
+
 }  // namespace
 }  // namespace wigeonlane
