cells: the clock of an idle runner is read once a minute

Cause: the clock of a runner that has been idle is extrapolated at full rate from when it was last read. A start after 300 s of idling was given a lease that was taken to last 11.4 s, and its deadline could lie 6 s late on the slowest clock; with leases capped by the last renewal it could lie in the past of an exact one and be refused. Change: an idle runner is asked once its clock was read a minute ago; one look a minute and runner. Evidence: Start_RunnerIdleForMinutes_LeaseStaysWithinReach failed before, passes now.

--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -26,6 +26,9 @@
   std::chrono::milliseconds lease_reach{5'800};
   /// Share of true time that the slowest runner's clock counts (platform: 2% slow).
   double slowest_clock = 0.98;
+  /// An idle runner's clock is read again after this: in a minute the slowest one falls behind by
+  /// 1.2 s, which the validity of a start must bear.
+  std::chrono::milliseconds clock_age{60'000};
   /// Covers the round trip and the rounding of clocks to milliseconds.
   std::chrono::milliseconds slack{200};
 
@@ -60,9 +63,10 @@
 
   /// How long a lease on a new life may last when orders to its former life may reach it: their
   /// deadlines are on the former clock and mean nothing there.
-  std::chrono::milliseconds StrayLeaseBound() const {
-    return longest_delay + RealTime(longest_lease);
-  }
+  std::chrono::milliseconds StrayLeaseBound() const { return longest_delay + StrayLeaseLeft(); }
+
+  /// The same once the new life has been called and refuses such orders.
+  std::chrono::milliseconds StrayLeaseLeft() const { return RealTime(longest_lease); }
 
  private:
   /// The longest that a period on a runner's clock takes.
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -210,8 +210,9 @@
 }
 
 void Cell::MaybeLook(Runner* runner, CellTime time) {
-  const bool wanted =
-      !runner->claimed || !runner->runs.empty() || runner->told_end < runner->stored_end;
+  const bool wanted = !runner->claimed || !runner->runs.empty() ||
+                      runner->told_end < runner->stored_end ||
+                      time.now - runner->clock_at > options_.clock_age;
   if (!wanted || runner->looking || time.now < runner->next_look) return;
   if (runner->claimed && runner->runs.empty() && !runner->listed) return;
   LookOrder look;
