--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -37,6 +37,8 @@
   UpdatePace(runner, report);
   if (!runner->claimed) {
     runner->claimed = true;
+    // From now on it refuses what was meant for a former life, which may have extended its lease.
+    runner->lease_end = std::min(runner->lease_end, time.now + options_.StrayLeaseLeft());
     NoteSettled(runner->key, time.now);
     LogDecision("claim", {{"runner", runner->listing.id},
                           {"cell", Concat(number_)},
--- a/tests/cells/cell_lease_test.cc
+++ b/tests/cells/cell_lease_test.cc
@@ -1,6 +1,8 @@
 /// How long the runs of a runner that falls silent are taken to last.
+#include <algorithm>
 #include <catch2/catch.hpp>
 
+#include "tests/cells/cell_world.h"
 #include "tests/cells/scripted_cell.h"
 
 namespace wigeonlane {
@@ -28,5 +30,35 @@
   CHECK(starts_.back().deadline >= Clock());
 }
 
+// Guards against a lasting task that was away for 20 s: an order to a former life of its runner had
+// not been answered, and what ran on the new life was taken to last as long as that could.
+TEST_CASE("LastingTask_OnLifeAfterAnUnansweredStart_IsBackInTime") {
+  constexpr milliseconds kLongestAway{9'000};
+  constexpr std::size_t kLastingShape = 3;
+  constexpr std::size_t kSound = 16;
+  constexpr std::size_t kRunners = 4;
+  CellWorld world;
+  world.Advance(milliseconds(500));
+  world.LateOrders(2);
+  world.Submit(kLastingShape, kSound);
+  world.Advance(milliseconds(300));
+  const auto runner_of = [&](std::size_t index) {
+    return world.cell()->FindRunnerById("runner-" + std::to_string(index));
+  };
+  for (std::size_t i = 0; i < kRunners; ++i) {
+    if (!runner_of(i)->runs.empty()) world.RestartRunner(i);
+  }
+  world.Advance(milliseconds(4'000));
+  const auto hosts = world.RunnersOf(0);
+  REQUIRE(hosts.size() == 2);
+  world.CrashRunner(*std::max_element(hosts.begin(), hosts.end(), [&](auto a, auto b) {
+    return runner_of(a)->lease_end < runner_of(b)->lease_end;
+  }));
+  world.Advance(kLongestAway);
+  CHECK(world.RunnersOf(0).size() == 2);
+  INFO(world.broken());
+  CHECK(world.broken().empty());
+}
+
 }  // namespace
 }  // namespace wigeonlane
