coordinator: the times of a role are a type of their own, without sockets

Change: RoleTenure (cells/) holds the two periods and when former holders are over; the coordinator asks it. Behaviour is unchanged: the same wait, cut short by the same record, and the same pause for a successor. Ruled out: driving the coordinator itself in a test, which needs a store and a machine API; the times are what went wrong.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -42,6 +42,7 @@
       router_(router),
       options_(std::move(options)),
       balancer_(machines, router, options_.division),
+      role_({options_.takeover_wait, options_.machine_lease}),
       timer_(*io) {}
 
 void MachineCoordinator::Start(TenureToken token) {
@@ -52,15 +53,16 @@
   balancer_.Reset();
   const std::uint64_t tenure = ++tenure_;
   LogDecision("coordinator_started", {{"token", Concat(token)}, {"waves", Concat(waves_.size())}});
-  AwaitPredecessor(tenure, clock_.Now() + options_.takeover_wait);
+  role_.Begin(clock_.Now());
+  AwaitPredecessor(tenure);
 }
 
-void MachineCoordinator::AwaitPredecessor(std::uint64_t tenure, Instant latest) {
-  const Instant free = std::min(options_.predecessor_left().value_or(latest), latest);
-  if (clock_.Now() >= free) return ReadBegun(tenure);
+void MachineCoordinator::AwaitPredecessor(std::uint64_t tenure) {
+  role_.NotePredecessor(options_.predecessor_left());
+  if (role_.MayAct(clock_.Now())) return ReadBegun(tenure);
   timer_.expires_after(kRound);
-  timer_.async_wait([this, tenure, latest](asio::error_code error) {
-    if (!error && tenure == tenure_) AwaitPredecessor(tenure, latest);
+  timer_.async_wait([this, tenure](asio::error_code error) {
+    if (!error && tenure == tenure_) AwaitPredecessor(tenure);
   });
 }
 
@@ -69,8 +71,7 @@
   active_ = false;
   timer_.cancel();
   const Instant now = clock_.Now();
-  const auto left = machines_->LastOrder(now) + options_.machine_lease - now;
-  return std::max(std::chrono::ceil<std::chrono::milliseconds>(left), std::chrono::milliseconds(0));
+  return role_.PauseOfSuccessor(machines_->LastOrder(now), now);
 }
 
 bool MachineCoordinator::HasAuthority(std::uint64_t tenure) const {
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -14,6 +14,7 @@
 
 #include "cells/call_router.h"
 #include "cells/division.h"
+#include "cells/role_tenure.h"
 #include "core/boot_clock.h"
 #include "daemon/pool_balancer.h"
 #include "platform/machine_client.h"
@@ -52,7 +53,7 @@
 
  private:
   bool HasAuthority(std::uint64_t tenure) const;
-  void AwaitPredecessor(std::uint64_t tenure, Instant latest);
+  void AwaitPredecessor(std::uint64_t tenure);
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
   void RoundLater(std::uint64_t tenure);
@@ -72,6 +73,7 @@
   CallRouter* router_;
   const Options options_;
   PoolBalancer balancer_;
+  RoleTenure role_;
   asio::steady_timer timer_;
   TenureToken token_ = 0;
   std::uint64_t tenure_ = 0;  ///< Counts starts and stops, so that late answers are told apart.
