--- a/cells/role_tenure.h
+++ b/cells/role_tenure.h
@@ -34,10 +34,11 @@
   /// Whether no former holder can act any more.
   bool MayAct(Instant now) const { return now >= free_at_; }
 
-  /// How long a successor must not act when the role is given up at `now`.
+  /// How long a successor must not act when the role is given up at `now`. A successor that finds
+  /// our record waits for nobody else, so the rest of our own wait is part of it.
   std::chrono::milliseconds PauseOfSuccessor(Instant last_act, Instant now) const {
-    const auto left =
-        std::chrono::ceil<std::chrono::milliseconds>(last_act + options_.act_lease - now);
+    const Instant over = std::max(last_act + options_.act_lease, free_at_);
+    const auto left = std::chrono::ceil<std::chrono::milliseconds>(over - now);
     return std::max(left, std::chrono::milliseconds(0));
   }
 
--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -70,6 +70,7 @@
   ++tenure_;
   active_ = false;
   timer_.cancel();
+  role_.NotePredecessor(options_.predecessor_left());
   const Instant now = clock_.Now();
   return role_.PauseOfSuccessor(machines_->LastOrder(now), now);
 }
