coordinator: the role begins only once no record of a former handover stands

Cause: found by the chains of role_tenure_test when a holder may leave before it has read the store. After the longest wait the coordinator began although its cell was not open yet or could not remove the predecessor's record. Should it fall silent then, its successor reads that record, which knows nothing of its orders, and begins beside it. The cell itself grants no lease while the record stands, for the same reason. Change: the cell tells both, whether the record is gone and when the predecessor left (RolePredecessor), and the tenure may act only when it is gone. The time that a standing record names is handed on as well, where before the longest wait was assumed. The test on the cell's side checks what it did and the record's removal besides.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -22,6 +22,7 @@
 #include "cells/cell_options.h"
 #include "cells/cell_types.h"
 #include "cells/commit_queue.h"
+#include "cells/role_tenure.h"
 #include "cells/runner.h"
 #include "jobs/job_progress.h"
 #include "scheduling/arrival_meter.h"
@@ -121,11 +122,8 @@
   bool settled() const { return unsettled_.empty(); }
   std::size_t unsettled_runners() const { return unsettled_.size(); }
 
-  /// When a predecessor that handed the cell over in good order leaves its role to us; nothing when
-  /// none did, and before its record is removed.
-  std::optional<Instant> role_free_at() const {
-    return handover_stands_ ? std::nullopt : role_free_at_;
-  }
+  /// What the record of a predecessor that handed the cell over in good order says of its role.
+  RolePredecessor role_predecessor() const { return {!handover_stands_, role_free_at_}; }
 
   CellNumber number() const { return number_; }
   TenureToken token() const { return token_; }
--- a/cells/role_tenure.h
+++ b/cells/role_tenure.h
@@ -10,6 +10,14 @@
 
 namespace wigeonlane {
 
+/// What the holder of a role knows of the one before.
+struct RolePredecessor {
+  /// Whether the store holds no record of a former handover any more. Should we fall silent, our
+  /// successor would rely on it and not wait for what we do.
+  bool record_gone = false;
+  std::optional<Instant> left = {};  ///< When what it did is over; nothing when it did not say.
+};
+
 struct RoleTenureOptions {
   /// A former holder that said nothing has ceased to act after this.
   std::chrono::milliseconds takeover_wait{0};
@@ -23,16 +31,18 @@
   explicit RoleTenure(RoleTenureOptions options) : options_(options) {}
 
   /// The role is ours from `now` on; whoever had it may act for the longest time.
-  void Begin(Instant now) { free_at_ = now + options_.takeover_wait; }
+  void Begin(Instant now) {
+    free_at_ = now + options_.takeover_wait;
+    record_gone_ = false;
+  }
 
-  /// The predecessor left in good order: what it did is over at `left`. Nothing while that is
-  /// unknown.
-  void NotePredecessor(std::optional<Instant> left) {
-    if (left) free_at_ = std::min(free_at_, *left);
+  void NotePredecessor(const RolePredecessor& known) {
+    record_gone_ = known.record_gone;
+    if (known.left) free_at_ = std::min(free_at_, *known.left);
   }
 
-  /// Whether no former holder can act any more.
-  bool MayAct(Instant now) const { return now >= free_at_; }
+  /// Whether no former holder can act any more, and our successor will wait for us.
+  bool MayAct(Instant now) const { return record_gone_ && now >= free_at_; }
 
   /// How long a successor must not act when the role is given up at `now`. A successor that finds
   /// our record waits for nobody else, so the rest of our own wait is part of it.
@@ -45,6 +55,7 @@
  private:
   RoleTenureOptions options_;
   Instant free_at_{};  ///< Of former holders.
+  bool record_gone_ = false;
 };
 
 }  // namespace wigeonlane
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -125,10 +125,10 @@
   options.holder = settings_.instance;
   options.division = &divisions_.division();
   options.machine_lease = settings_.machine_lease;
-  options.predecessor_left = [this]() -> std::optional<Instant> {
+  options.predecessor = [this]() -> RolePredecessor {
     const Host* host = cells_.Find(kCoordinatorCell);
     if (host == nullptr || host->cell() == nullptr) return {};
-    return host->cell()->role_free_at();
+    return host->cell()->role_predecessor();
   };
   options.takeover_wait = kMachineAuthority + settings_.machine_lease;
   coordinator_ =
--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -58,7 +58,7 @@
 }
 
 void MachineCoordinator::AwaitPredecessor(std::uint64_t tenure) {
-  role_.NotePredecessor(options_.predecessor_left());
+  role_.NotePredecessor(options_.predecessor());
   if (role_.MayAct(clock_.Now())) return ReadBegun(tenure);
   timer_.expires_after(kRound);
   timer_.async_wait([this, tenure](asio::error_code error) {
@@ -70,7 +70,7 @@
   ++tenure_;
   active_ = false;
   timer_.cancel();
-  role_.NotePredecessor(options_.predecessor_left());
+  role_.NotePredecessor(options_.predecessor());
   const Instant now = clock_.Now();
   return role_.PauseOfSuccessor(machines_->LastOrder(now), now);
 }
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,8 +35,8 @@
     std::chrono::milliseconds takeover_wait{6'000};
     /// How long the platform takes orders of one holder only (Bounds.LeaseMs).
     std::chrono::milliseconds machine_lease{3'000};
-    /// When a former holder that left in good order frees the role; nothing while that is unknown.
-    std::function<std::optional<Instant>()> predecessor_left = [] { return std::nullopt; };
+    /// What is known of the former holder by now.
+    std::function<RolePredecessor()> predecessor = [] { return RolePredecessor(); };
   };
 
   MachineCoordinator(asio::io_context* io, MachineClient* machines, StoreClient* store,
--- a/tests/cells/cell_world_test.cc
+++ b/tests/cells/cell_world_test.cc
@@ -203,13 +203,25 @@
 TEST_CASE_METHOD(CellWorldTest, "Role_PredecessorHandedOver_IsFreeOnceItsRecordIsRemoved") {
   world_.Submit(0, 20);
   world_.Advance(milliseconds(300));
-  CHECK_FALSE(world_.cell()->role_free_at());
+  CHECK(world_.cell()->role_predecessor().record_gone);
+  CHECK_FALSE(world_.cell()->role_predecessor().left);
   world_.HandOver();
   world_.Advance(milliseconds(200));
-  CHECK(world_.cell()->role_free_at());
+  CHECK(world_.cell()->role_predecessor().record_gone);
+  CHECK(world_.cell()->role_predecessor().left);
   world_.TakeOver(true);  // The record is gone, and this owner said nothing.
   world_.Advance(milliseconds(200));
-  CHECK_FALSE(world_.cell()->role_free_at());
+  CHECK(world_.cell()->role_predecessor().record_gone);
+  CHECK_FALSE(world_.cell()->role_predecessor().left);
+}
+
+TEST_CASE_METHOD(CellWorldTest, "Role_RecordOfPredecessorIsNotRemovedYet_IsNotFree") {
+  world_.Advance(milliseconds(300));
+  const Cell* former = world_.cell();
+  world_.HandOver();
+  while (world_.cell() == nullptr || world_.cell() == former) world_.Advance(milliseconds(1));
+  CHECK(world_.cell()->role_predecessor().left);
+  CHECK_FALSE(world_.cell()->role_predecessor().record_gone);
 }
 
 TEST_CASE_METHOD(CellWorldTest, "Job_AllRunnersReservedAndNothingRuns_StartsOnceTheyAreFree") {
--- a/tests/cells/role_tenure_test.cc
+++ b/tests/cells/role_tenure_test.cc
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <cstdint>
 #include <optional>
 
 #include "tests/support/property.h"
@@ -31,7 +33,7 @@
   /// Begins after a predecessor that left `pause` behind, or nothing.
   void Begin(Instant now, std::optional<milliseconds> pause) {
     tenure.Begin(now);
-    if (pause) tenure.NotePredecessor(now + *pause);
+    tenure.NotePredecessor({true, pause ? std::optional(now + *pause) : std::nullopt});
   }
 };
 
@@ -89,15 +91,37 @@
   second_.Begin(now(), std::nullopt);
   const Instant left = now() + kLease;
   Advance(milliseconds(500));
-  second_.tenure.NotePredecessor(std::nullopt);
-  second_.tenure.NotePredecessor(left);
+  second_.tenure.NotePredecessor({false, std::nullopt});
+  second_.tenure.NotePredecessor({true, left});
   CHECK_FALSE(second_.tenure.MayAct(left - microseconds(1)));
   CHECK(second_.tenure.MayAct(left));
 }
 
+// Its own successor would rely on that record and not wait for what it does.
+TEST_CASE_METHOD(RoleTenureTest, "Wait_RecordOfPredecessorMayStand_IsNotOver") {
+  second_.tenure.Begin(now());
+  CHECK_FALSE(second_.tenure.MayAct(now() + kWait));
+  second_.tenure.NotePredecessor({false, now()});
+  CHECK_FALSE(second_.tenure.MayAct(now() + kWait));
+  second_.tenure.NotePredecessor({true, now()});
+  CHECK(second_.tenure.MayAct(now()));
+}
+
+TEST_CASE_METHOD(RoleTenureTest, "Wait_TenureBeginsAgain_RecordMayStandAgain") {
+  second_.Begin(now(), std::nullopt);
+  second_.tenure.Begin(now());
+  CHECK_FALSE(second_.tenure.MayAct(now() + kWait));
+}
+
+TEST_CASE_METHOD(RoleTenureTest, "Handover_RecordOfPredecessorStillStands_ThirdWaitsUntilItLeft") {
+  second_.tenure.Begin(now());
+  second_.tenure.NotePredecessor({false, now() + kLease});
+  CHECK(second_.HandOver(now()) == kLease);
+}
+
 TEST_CASE_METHOD(RoleTenureTest, "Wait_RecordIsReadLate_IsNoLongerThanTheLongest") {
   second_.Begin(now(), std::nullopt);
-  second_.tenure.NotePredecessor(now() + kWait + kLease);
+  second_.tenure.NotePredecessor({true, now() + kWait + kLease});
   CHECK(second_.tenure.MayAct(now() + kWait));
 }
 
@@ -185,12 +209,15 @@
   CHECK(third_.tenure.MayAct(now() + kWait));
 }
 
+/// How far a holder gets with the record of its predecessor before it leaves.
+enum class Takeover : std::uint8_t { kNotRead, kRead, kRemoved };
+
 /// What one holder does before the next one begins.
 struct Turn {
   milliseconds held{0};  ///< Until the next holder begins.
-  bool acts = false;     ///< As soon as it may and as long as it may.
-  bool reads = false;    ///< The predecessor's record, as it begins.
-  bool silent = false;   ///< Leaves no record of its own, and goes on as long as it may.
+  Takeover takeover = Takeover::kNotRead;
+  bool acts = false;    ///< As soon as it may and as long as it may.
+  bool silent = false;  ///< Leaves no record of its own, and goes on as long as it may.
 };
 
 /// Plays turns one after the other with the record that they leave in the store.
@@ -198,32 +225,48 @@
  public:
   /// Whether no act of the holder comes while one of another may be under way.
   bool Play(const Turn& turn) {
-    Holder holder;
-    holder.Begin(now_, turn.reads ? record_ : std::nullopt);
-    // A holder that did not read the predecessor's record leaves it there, and writes none.
-    if (turn.reads) record_.reset();
-    const Instant free = FirstAct(holder);
+    Holder holder = Begin(turn.takeover);
+    if (turn.takeover == Takeover::kRemoved) recorded_ = false;
+    const std::optional<Instant> free = FirstAct(holder);
     now_ += turn.held;
     const Instant end = turn.silent ? now_ + kAuthority : now_;
-    const bool acted = turn.acts && free <= end;
-    const bool sound = !acted || free >= busy_until_;
+    const bool acted = turn.acts && free && *free <= end;
+    const bool sound = !acted || *free >= busy_until_;
     if (acted) {
       holder.last_act = end;
       busy_until_ = std::max(busy_until_, end + kLease);
     }
-    if (!turn.silent && turn.reads) record_ = holder.HandOver(now_);
+    // A holder that did not get to the record of its predecessor writes none.
+    if (!turn.silent && turn.takeover != Takeover::kNotRead) {
+      recorded_ = true;
+      pause_ = holder.HandOver(now_);
+    }
     return sound;
   }
 
  private:
-  Instant FirstAct(const Holder& holder) const {
-    Instant time = now_;
-    while (!holder.tenure.MayAct(time)) time += milliseconds(1);
-    return time;
+  Holder Begin(Takeover takeover) const {
+    Holder holder;
+    holder.tenure.Begin(now_);
+    if (takeover == Takeover::kNotRead) return holder;
+    RolePredecessor known;
+    known.record_gone = takeover == Takeover::kRemoved;
+    if (recorded_) known.left = now_ + pause_;
+    holder.tenure.NotePredecessor(known);
+    return holder;
+  }
+
+  /// Nothing when it never may.
+  std::optional<Instant> FirstAct(const Holder& holder) const {
+    for (Instant time = now_; time <= now_ + kWait; time += milliseconds(1)) {
+      if (holder.tenure.MayAct(time)) return time;
+    }
+    return {};
   }
 
   Instant now_{std::chrono::hours(1)};
-  std::optional<milliseconds> record_;
+  bool recorded_ = false;  ///< A record stands in the store ...
+  milliseconds pause_{0};  ///< ... that says this.
   Instant busy_until_{};
 };
 
@@ -237,7 +280,7 @@
       turn.held = milliseconds(*rc::gen::inRange(0, 8'000));
       turn.acts = *rc::gen::arbitrary<bool>();
       turn.silent = *rc::gen::arbitrary<bool>();
-      turn.reads = turn.held + kAuthority >= kWait || *rc::gen::arbitrary<bool>();
+      turn.takeover = *rc::gen::element(Takeover::kNotRead, Takeover::kRead, Takeover::kRemoved);
       RC_ASSERT(chain.Play(turn));
     }
   });
--- a/tests/daemon/machine_coordinator_test.cc
+++ b/tests/daemon/machine_coordinator_test.cc
@@ -4,7 +4,6 @@
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
-#include <optional>
 
 namespace wigeonlane {
 namespace {
@@ -27,7 +26,7 @@
     options.division = &division_;
     options.takeover_wait = kTakeoverWait;
     options.machine_lease = kMachineLease;
-    options.predecessor_left = [this] { return left_; };
+    options.predecessor = [this] { return predecessor_; };
     return options;
   }
 
@@ -42,7 +41,7 @@
   StoreClient store_{&io_, Endpoint{}, &metrics_};
   CallRouter router_{&io_, Endpoint{}, RouterHooks{}};
   Division division_;
-  std::optional<Instant> left_;
+  RolePredecessor predecessor_;
   MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_, Options()};
 };
 
@@ -55,7 +54,7 @@
 TEST_CASE_METHOD(MachineCoordinatorTest,
                  "Stop_PredecessorIsHeardOfSinceTheLastLook_LeavesItsRest") {
   coordinator_.Start(kToken);
-  left_ = BootClock().Now() + hours(1);
+  predecessor_.left = BootClock().Now() + hours(1);
   CHECK(IsRestOf(coordinator_.Stop(), hours(1)));
 }
 
