--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -14,6 +15,7 @@
 
 #include "cells/call_router.h"
 #include "cells/division.h"
+#include "cells/role_tenure.h"
 #include "core/boot_clock.h"
 #include "daemon/pool_balancer.h"
 #include "platform/machine_client.h"
@@ -33,8 +35,8 @@
     std::chrono::milliseconds takeover_wait{6'000};
     /// How long the platform takes orders of one holder only (Bounds.LeaseMs).
     std::chrono::milliseconds machine_lease{3'000};
-    /// When a former holder that left in good order frees the role; nothing while that is unknown.
-    std::function<std::optional<Instant>()> predecessor_left = [] { return std::nullopt; };
+    /// What is known of the former holder by now.
+    std::function<RolePredecessor()> predecessor = [] { return RolePredecessor(); };
   };
 
   MachineCoordinator(asio::io_context* io, MachineClient* machines, StoreClient* store,
@@ -52,7 +54,7 @@
 
  private:
   bool HasAuthority(std::uint64_t tenure) const;
-  void AwaitPredecessor(std::uint64_t tenure, Instant latest);
+  void AwaitPredecessor(std::uint64_t tenure);
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
   void RoundLater(std::uint64_t tenure);
@@ -72,6 +74,7 @@
   CallRouter* router_;
   const Options options_;
   PoolBalancer balancer_;
+  RoleTenure role_;
   asio::steady_timer timer_;
   TenureToken token_ = 0;
   std::uint64_t tenure_ = 0;  ///< Counts starts and stops, so that late answers are told apart.
