cells: an occurrence that a former owner has started counts, though it is not due by our clock

Callers saw: nothing yet; found by the review of hand-overs. Scheduled work could run twice. Cause: after a takeover by an instance whose time of day is behind, runs and ends of an occurrence that was not due by that clock belonged to no known task: the run was stopped as unwanted, the end was told to be forgotten and the task started again when its time came (TWICE). Change: an occurrence that a runner lists is created if it is due within ten seconds; its other tasks wait until it is due by our clock. Evidence: cell_timed_test, End_OccurrenceNotDueByOwnClock_IsNotRunAgain: one start before, none now.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -211,6 +211,7 @@
   void AdvanceStops(Runner* runner, CellTime time);
   void MaybeLook(Runner* runner, CellTime time);
   void TakeReport(Runner* runner, const RunnerReport& report, CellTime time);
+  static TaskState* FindStartedTask(JobEntry* entry, const TaskId& id, UnixTime wall);
   void TakeEnd(Runner* runner, const ListedEnd& end, CellTime time);
   void TakeFailure(Runner* runner, JobEntry* entry, const ListedEnd& end, Instant ordered,
                    CellTime time);
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kFirstRestartPause{250};
 /// Longest pause 2 s: a lasting task may be away for 3 s (the platform's rule on lost tasks).
 constexpr std::uint32_t kMostDoublings = 3;
+/// How far the clocks of two owners may be apart; on days on which clocks jump it is some seconds.
+constexpr std::chrono::seconds kClockSpread{10};
 
 }  // namespace
 
@@ -71,12 +73,22 @@
   }
 }
 
+/// A task that a runner lists. Its occurrence may not be due by the clock of this instance, when a
+/// former owner's was ahead.
+TaskState* Cell::FindStartedTask(JobEntry* entry, const TaskId& id, UnixTime wall) {
+  if (entry == nullptr) return nullptr;
+  if (entry->job.DueAt(id.occurrence) <= wall + kClockSpread) {
+    entry->job.MaterializeStarted(id.occurrence);
+  }
+  return entry->job.FindTask(id);
+}
+
 void Cell::TakeEnd(Runner* runner, const ListedEnd& end, CellTime time) {
   runner->seen_end = end.number;
   const LiveRun* live = FindRun(runner, end.task, end.run);
   const Instant ordered = live == nullptr ? Instant{} : live->ordered;
   JobEntry* entry = FindJob(end.task.job);
-  TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(end.task);
+  TaskState* task = FindStartedTask(entry, end.task, time.wall);
   LogDecision("run_end", {{"job", std::string(end.task.job.text())},
                           {"task", end.task.ToString()},
                           {"run", Concat(end.run)},
@@ -144,7 +156,7 @@
 
 void Cell::TakeRunning(Runner* runner, const ListedRun& row, RunnerClock clock, CellTime time) {
   JobEntry* entry = FindJob(row.task.job);
-  TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(row.task);
+  TaskState* task = FindStartedTask(entry, row.task, time.wall);
   if (LiveRun* live = FindRun(runner, row.task, row.run)) {
     if (live->phase == RunPhase::kStarting) live->phase = RunPhase::kRunning;
     live->listed = true;
--- a/jobs/job_progress.cc
+++ b/jobs/job_progress.cc
@@ -119,9 +119,19 @@
   return occurrences_.size() > before;
 }
 
+void Job::MaterializeStarted(std::uint32_t occurrence) {
+  if (occurrence >= spec_.occurrences()) return;
+  while (occurrences_.size() <= occurrence) occurrences_.push_back(NewOccurrence(spec_));
+}
+
+UnixTime Job::DueAt(std::uint32_t occurrence) const {
+  if (!spec_.timed()) return UnixTime::min();
+  return UnixTime(spec_.start_at + spec_.period * static_cast<std::int64_t>(occurrence));
+}
+
 UnixTime Job::NextDue() const {
   if (occurrences_.size() >= spec_.occurrences() || IsFinal(state_)) return UnixTime::max();
-  return UnixTime(spec_.start_at + spec_.period * static_cast<std::int64_t>(occurrences_.size()));
+  return DueAt(static_cast<std::uint32_t>(occurrences_.size()));
 }
 
 bool Job::StepReady(std::uint32_t occurrence, std::uint32_t step) const {
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -89,6 +89,13 @@
   /// Creates the occurrences that are due at `now`. Returns whether there are new ones.
   bool Materialize(UnixTime now);
 
+  /// Creates the occurrences up to that number, though the clock here says that they are not due: a
+  /// former owner has started them. Numbers beyond those of the job create none.
+  void MaterializeStarted(std::uint32_t occurrence);
+
+  /// The time at which an occurrence is due; the distant past for a job without due times.
+  UnixTime DueAt(std::uint32_t occurrence) const;
+
   /// The time at which the next occurrence is due; the far future when there is none.
   UnixTime NextDue() const;
 
--- /dev/null
+++ b/tests/cells/cell_timed_test.cc
@@ -0,0 +1,101 @@
+/// Jobs with due times, whose owners' clocks differ.
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "cells/cell.h"
+#include "cells/record_keys.h"
+#include "core/codec.h"
+
+namespace wigeonlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A successor takes over a job that is due in two seconds by its clock, and one sound runner.
+class CellTimedTest {
+ protected:
+  static constexpr milliseconds kDueIn{2'000};
+
+  CellTimedTest() : id_(*JobId::Parse("00000000000000c1")), cell_(0, 2, CellOptions()) {
+    JobRecord record;
+    StepSpec step;
+    step.count = 2;
+    step.need = {1'000, 1'000, 0};
+    record.spec.steps = {step};
+    record.spec.times = 2;
+    record.spec.start_at = wall_.time_since_epoch() + kDueIn;
+    record.spec.period = milliseconds(60'000);
+    record.policy.service = "press";
+    record.accepted = wall_.time_since_epoch() - milliseconds(5'000);
+    runner_.id = "runner-0";
+    runner_.service = "press";
+    runner_.capacity = {32'000, 64'000, 0};
+    runner_.born = milliseconds(1'000);
+    cell_.ExtendAuthority(now_ + std::chrono::hours(1));
+    cell_.Restore({{JobKey(id_), Encode(record)}}, {now_, wall_});
+    cell_.SetRunners({runner_}, {now_, wall_});
+  }
+
+  void Pass(milliseconds duration) {
+    constexpr milliseconds kStep{5};
+    for (milliseconds passed{0}; passed < duration; passed += kStep) {
+      now_ += kStep;
+      wall_ += kStep;
+      cell_.Advance({now_, wall_});
+      const Outbox outbox = cell_.TakeOutbox();
+      if (!outbox.appends.empty()) cell_.Committed({now_, wall_});
+      for (const StartOrder& start : outbox.starts) {
+        started_.push_back(start.task);
+        running_.push_back({start.task, start.run, "", 100, 0});
+        cell_.StartAnswered(start, {OrderAnswer::kDone, {}}, {now_, wall_});
+      }
+      for (const LookOrder& look : outbox.looks) Answer(look);
+    }
+  }
+
+  TaskId Task(std::uint32_t index) const { return {id_, 0, 0, index}; }
+
+  const JobId id_;
+  Instant now_{std::chrono::hours(1)};
+  UnixTime wall_{milliseconds(1'000'000'000)};
+  Cell cell_;
+  RunnerListing runner_;
+  std::vector<ListedRun> running_;
+  std::vector<ListedEnd> ended_;
+  std::vector<TaskId> started_;
+
+ private:
+  void Answer(const LookOrder& look) {
+    std::erase_if(ended_, [&](const ListedEnd& end) { return end.number <= look.forget_up_to; });
+    RunnerReport report;
+    report.born = runner_.born;
+    report.clock = std::chrono::duration_cast<RunnerClock>(now_.time_since_epoch());
+    report.running = running_;
+    report.ended = ended_;
+    cell_.Looked(look, OrderAnswer::kDone, report, {now_, wall_});
+  }
+};
+
+// Guards against work that ran twice: a former owner's clock was ahead, and the end of an
+// occurrence that was not due by this instance's clock was forgotten.
+TEST_CASE_METHOD(CellTimedTest, "End_OccurrenceNotDueByOwnClock_IsNotRunAgain") {
+  ended_ = {{1, Task(0), 1, RunEnd::kDone, ""}};
+  Pass(kDueIn * 2);
+  CHECK(std::count(started_.begin(), started_.end(), Task(0)) == 0);
+  CHECK(std::count(started_.begin(), started_.end(), Task(1)) == 1);
+}
+
+TEST_CASE_METHOD(CellTimedTest, "Run_OccurrenceNotDueByOwnClock_IsAdopted") {
+  running_ = {{Task(0), 1, "", 100, 0}};
+  Pass(kDueIn * 2);
+  CHECK(std::count(started_.begin(), started_.end(), Task(0)) == 0);
+}
+
+TEST_CASE_METHOD(CellTimedTest, "OtherTasks_OccurrenceNotDueByOwnClock_WaitUntilItIs") {
+  ended_ = {{1, Task(0), 1, RunEnd::kDone, ""}};
+  Pass(kDueIn - milliseconds(500));
+  CHECK(started_.empty());
+}
+
+}  // namespace
+}  // namespace wigeonlane
