cells: a silent runner keeps no sound one from being taken for upkeep

Cause: reservations waited until all of a predecessor's runners had answered. What may be ended is decided task by task anyway, and a task that may be on a silent runner counts as away there. Change: only the runner itself must have answered. Evidence: ReserveRunner_AnotherOfItsServiceIsSilent_IsReady failed before, passes now; ReserveRunner_SiblingMayBeOnASilentRunner_IsNotReady holds before and after.

--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -16,9 +16,7 @@
 CallAnswer Cell::ReserveRunner(const std::string& runner_id, CellTime time) {
   const auto key = key_by_id_.find(runner_id);
   Runner* runner = key == key_by_id_.end() ? nullptr : FindRunner(key->second);
-  if (runner == nullptr || !runner->claimed || unsettled_.HoldsBack(runner->listing.service)) {
-    return {CallVerdict::kNotReady};
-  }
+  if (runner == nullptr || !runner->claimed) return {CallVerdict::kNotReady};
   if (time.now >= runner->reserved_until) {
     LogDecision(
         "reserve_runner",
--- a/tests/cells/cell_takeover_test.cc
+++ b/tests/cells/cell_takeover_test.cc
@@ -106,5 +106,29 @@
   CHECK(starts_.size() == 1);
 }
 
+// Guards against waves and moves that stood still after a takeover: one silent runner kept all
+// others from being taken for upkeep.
+TEST_CASE_METHOD(SilentRunnerTest, "ReserveRunner_AnotherOfItsServiceIsSilent_IsReady") {
+  TakeOverWithSilentRunner(std::string(kService), 3);
+  CHECK(cell_->ReserveRunner(RunnerName(0), Time()).verdict == CallVerdict::kReady);
+}
+
+TEST_CASE_METHOD(SilentRunnerTest, "ReserveRunner_SiblingMayBeOnASilentRunner_IsNotReady") {
+  StepSpec step;
+  step.count = 2;
+  step.need = kRoom;
+  step.long_running = true;
+  step.may_be_missing = 1;
+  Begin(2, kRoom);
+  Pass(kMoment);
+  Submit(step);
+  Pass(kMoment);
+  REQUIRE(starts_.size() == 2);
+  silent_.insert(RunnerName(1));
+  Begin(2, kRoom);
+  Pass(milliseconds(3'000));
+  CHECK(cell_->ReserveRunner(RunnerName(0), Time()).verdict == CallVerdict::kNotReady);
+}
+
 }  // namespace
 }  // namespace wigeonlane
