cells: a lost cell is dealt on once its owner has released it

Cause: joins carried the newest generation received, which lets the store deal on every cell that this generation took away. The next renewal in turn (250 ms), the release of one of several cells, leaving for a higher token and standing down all gave cells away whose handover record was not stored yet. Change: Ownership notes each loss with the generation before it and joins with the newest generation whose losses are all released; the release that makes a newer one so renews at once. Rejoining and standing down wait for the losses. Tokens and the detection of lapses still use the newest generation received. A release that never ends is given up after kLongestRelease (3 s) in reach of the store, event=release_overdue; an outage counts as one pause, since no cell is dealt on in it either.

--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,7 +29,8 @@
 struct OwnershipEvents {
   /// The cell is ours under `token` from now on.
   std::function<void(CellNumber, TenureToken)> gained;
-  /// The cell is another's once `released` is called, at the latest when our membership ends.
+  /// The cell is another's once `released` is called, at the latest when our membership ends or
+  /// after `kLongestRelease` with the store in reach.
   std::function<void(CellNumber, std::function<void()> released)> lost;
   /// The store confirmed a renewal that was sent at this time.
   std::function<void(Instant sent)> renewed;
@@ -136,6 +138,11 @@
 
   std::uint64_t generation() const { return generation_; }
 
+  /// Longest time in reach of the store that a lost cell is kept from its next owner while its
+  /// release is under way. An append waits for 2 s at most in the queue of its partition (the
+  /// platform's page on its store), and its answer may be lost once (a call ends after 1 s).
+  static constexpr std::chrono::milliseconds kLongestRelease{3'000};
+
   /// Until the next renewal. Work waits for it while the store cannot be reached.
   std::chrono::milliseconds pause() const {
     return reachable_ ? options_.member.ttl / kRenewalsPerTtl : kRejoinRetry;
@@ -152,6 +159,13 @@
   /// Larger instances must have been enough for this long before a smaller one stands down.
   static constexpr std::chrono::milliseconds kStandDownAfter{3'000};
 
+  /// A cell that is no longer ours, of which not all that we know is stored yet.
+  struct Loss {
+    CellNumber cell = 0;
+    std::uint64_t generation_before = 0;  ///< The newest that did not take the cell away.
+    Duration kept{};                      ///< With the store in reach.
+  };
+
   void TakeOwners(const std::vector<PartOwner>& owners) {
     std::map<CellNumber, std::string> listed;
     for (const PartOwner& owner : owners) listed[owner.part] = owner.member;
@@ -190,24 +204,29 @@
     if (Need() != OwnerNeed::kNone) return enough_since_.reset();
     if (!enough_since_) enough_since_ = clock_->Now();
     if (clock_->Now() - *enough_since_ < kStandDownAfter) return;
+    if (!losses_.empty()) return;  // Leaving would deal on cells that are not released.
     LogDecision("stand_down",
                 {{"cells", Concat(held_.size())}, {"capacity", Concat(options_.capacity)}});
     standby_ = true;
     needed_before_ = false;
     reclaim_.clear();
-    const auto cells = std::exchange(held_, {});
-    auto left = std::make_shared<std::size_t>(cells.size() + 1);
-    const std::function<void()> released = [this, left] {
-      if (--*left > 0 || leaving_) return;
-      store_->Leave(options_.member.group, options_.member.member,
-                    [this](const absl::Status& status) {
-                      // A membership that could not be ended ends by itself.
-                      if (!status.ok()) LogWarning("leave_failed", {{"why", MessageOf(status)}});
-                      if (!leaving_) StandByFor(kStandbyPoll);
-                    });
-    };
-    for (const CellNumber cell : cells) events_.lost(cell, released);
-    released();
+    timer_.expires_after(kLongestRelease);
+    timer_.async_wait([this](asio::error_code error) {
+      if (!error && !leaving_ && !losses_.empty()) LeaveForStandby();
+    });
+    if (held_.empty()) return LeaveForStandby();
+    Lose(std::exchange(held_, {}), generation_);
+  }
+
+  void LeaveForStandby() {
+    losses_.clear();
+    timer_.cancel();
+    store_->Leave(options_.member.group, options_.member.member,
+                  [this](const absl::Status& status) {
+                    // A membership that could not be ended ends by itself.
+                    if (!status.ok()) LogWarning("leave_failed", {{"why", MessageOf(status)}});
+                    if (!leaving_) StandByFor(kStandbyPoll);
+                  });
   }
 
   void Rejoin() {
@@ -227,14 +246,17 @@
   void Renew() {
     renewing_ = true;
     const Instant sent = clock_->Now();
-    store_->Join(options_.member, generation_, [this, sent](absl::StatusOr<GroupView> view) {
-      renewing_ = false;
-      if (leaving_ || standby_) return;
+    store_->Join(options_.member, Confirmed(), [this, sent](absl::StatusOr<GroupView> view) {
+      if (leaving_ || standby_) {
+        renewing_ = false;
+        return;
+      }
       if (view.ok()) {
         Take(*view, sent);
       } else if (std::exchange(reachable_, false)) {
         LogWarning("store_lost", {{"why", MessageOf(view.status())}});
       }
+      renewing_ = false;
       if (standby_) return;
       if (std::exchange(rejoin_wanted_, false)) return Rejoin();
       if (std::exchange(renew_again_, false)) return Renew();
@@ -242,6 +264,46 @@
     });
   }
 
+  /// The newest generation whose losses are all released. The store deals a cell on when we join
+  /// with the generation that took it away, or with a later one.
+  std::uint64_t Confirmed() const {
+    return losses_.empty() ? generation_ : losses_.begin()->second.generation_before;
+  }
+
+  void Lose(const std::set<CellNumber>& cells, std::uint64_t generation_before) {
+    std::vector<std::uint64_t> numbers;
+    for (const CellNumber cell : cells) {
+      reclaim_.erase(cell);
+      losses_[++last_loss_] = {cell, generation_before};
+      numbers.push_back(last_loss_);
+    }
+    auto number = numbers.begin();
+    for (const CellNumber cell : cells) {
+      events_.lost(cell, [this, loss = *number++] { Released(loss); });
+    }
+  }
+
+  /// A renewal that confirms nothing more would only delay the one that does.
+  void Released(std::uint64_t loss) {
+    const std::uint64_t confirmed = Confirmed();
+    if (losses_.erase(loss) == 0 || leaving_) return;
+    if (standby_ && losses_.empty()) return LeaveForStandby();
+    if (Confirmed() != confirmed) RenewNow();
+  }
+
+  /// A record that cannot be stored must not keep the cell from an owner. An outage counts as one
+  /// pause between renewals: no record can be stored in it, and no cell dealt on.
+  void DropOverdueLosses(Instant sent) {
+    const Duration passed = std::min<Duration>(sent - renewed_at_, pause());
+    for (auto& [number, loss] : losses_) loss.kept += passed;
+    std::erase_if(losses_, [](const auto& item) {
+      const Loss& loss = item.second;
+      if (loss.kept < kLongestRelease) return false;
+      LogWarning("release_overdue", {{"cell", Concat(loss.cell)}});
+      return true;
+    });
+  }
+
   void Schedule() {
     timer_.expires_after(pause());
     timer_.async_wait([this](asio::error_code error) {
@@ -258,18 +320,18 @@
     // While we were away for longer than our time to live, others may have had our cells and given
     // them back: the tenures are over, whatever is listed now.
     const bool lapsed = changed && sent - renewed_at_ > options_.member.ttl;
+    DropOverdueLosses(sent);
     renewed_at_ = sent;
-    generation_ = view.generation;
+    const std::uint64_t before = std::exchange(generation_, view.generation);
     if (lapsed) {
       for (const CellNumber cell : std::exchange(held_, {})) events_.lost(cell, [] {});
     }
     const std::set<CellNumber> now(view.parts.begin(), view.parts.end());
-    for (auto it = held_.begin(); it != held_.end();) {
-      const CellNumber cell = *it;
-      it = now.contains(cell) ? std::next(it) : held_.erase(it);
-      if (!now.contains(cell)) reclaim_.erase(cell);
-      if (!now.contains(cell)) events_.lost(cell, [this] { RenewNow(); });
-    }
+    std::set<CellNumber> lost;
+    std::set_difference(held_.begin(), held_.end(), now.begin(), now.end(),
+                        std::inserter(lost, lost.end()));
+    for (const CellNumber cell : lost) held_.erase(cell);
+    Lose(lost, before);
     events_.renewed(sent);
     for (const CellNumber cell : now) {
       if (!held_.insert(cell).second) continue;
@@ -281,7 +343,8 @@
         events_.gained(cell, TokenOf(cell));
       } else {
         reclaim_[cell] = token;
-        rejoin_wanted_ = true;  // A new generation brings a higher token.
+        // A new generation brings a higher token. Leaving would deal on cells not released yet.
+        rejoin_wanted_ = losses_.empty();
       }
     }
     if (changed || owners_.size() < options_.cells) RefreshOwners();
@@ -296,6 +359,8 @@
   std::uint64_t generation_ = 0;
   Instant renewed_at_{};  ///< When the last renewal that was confirmed was sent.
   std::set<CellNumber> held_;
+  std::map<std::uint64_t, Loss> losses_;  ///< Not released yet, oldest first.
+  std::uint64_t last_loss_ = 0;
   std::map<CellNumber, TenureToken> reclaim_;  ///< Tenures that ended before their time.
   std::map<CellNumber, std::string> owners_;
   std::map<std::string, Instant> evicted_at_;  ///< When a member was evicted last.
--- a/tests/cells/cell_release_test.cc
+++ b/tests/cells/cell_release_test.cc
@@ -18,6 +18,7 @@
  public:
   void Join(const GroupMember&, std::uint64_t generation,
             const std::function<void(absl::StatusOr<GroupView>)>& done) {
+    if (away) return done(absl::UnavailableError("away"));
     confirmed.push_back(generation);
     GroupView view = views.front();
     if (views.size() > 1) views.pop_front();
@@ -43,14 +44,20 @@
   std::vector<PartOwner> owners;
   std::vector<std::uint64_t> confirmed;
   int leaves = 0;
+  bool away = false;
 };
 
 class CellReleaseTest {
  protected:
   static constexpr std::uint32_t kCells = 8;
+  static constexpr milliseconds kLongestRelease =
+      Ownership<NotingGroup, ManualClock>::kLongestRelease;
   /// More than two periods of renewal.
   static constexpr milliseconds kSomeRenewals{600};
 
+  /// Between renewals.
+  static constexpr milliseconds kPause{250};
+
   CellReleaseTest() { Create(kAlwaysOwns); }
 
   void Create(MilliCores capacity) {
@@ -79,6 +86,14 @@
     ownership_->RenewNow();
   }
 
+  /// Renews in turn for `duration` by the clock.
+  void RenewFor(milliseconds duration) {
+    for (milliseconds gone{0}; gone < duration; gone += kPause) {
+      clock_.Advance(kPause);
+      ownership_->RenewNow();
+    }
+  }
+
   void Release(std::size_t loss) { lost_.at(loss).second(); }
 
   /// Lets the timers run that are due within `duration` of real time.
@@ -179,5 +194,45 @@
   CHECK(group_.leaves == 1);
 }
 
+// Against a cell that stays without an owner because its record can never be stored.
+TEST_CASE_METHOD(CellReleaseTest, "Release_NeverEnds_CellIsDealtOnAfterTheLongestRelease") {
+  HoldThenSee({{4, {}}});
+  RenewFor(kLongestRelease - kPause);
+  CHECK_FALSE(group_.Confirmed(4));
+  RenewFor(2 * kPause);
+  CHECK(group_.Confirmed(4));
+  group_.confirmed.clear();
+  Release(0);  // Too late to matter.
+  CHECK(group_.confirmed.empty());
+}
+
+// Against an outage of the store using up the time in which a record could be stored.
+TEST_CASE_METHOD(CellReleaseTest, "Release_StoreWasAway_IsWaitedForAfterItsReturn") {
+  HoldThenSee({{4, {}}});
+  group_.away = true;
+  RenewFor(2 * kLongestRelease);
+  group_.away = false;
+  RenewFor(2 * kPause);
+  CHECK_FALSE(group_.Confirmed(4));
+}
+
+// Against an instance that neither owns nor stands by because a release never ends.
+TEST_CASE_METHOD(CellReleaseTest, "StandDown_ReleaseNeverEnds_LeavesAfterTheLongestRelease") {
+  Create(120);
+  group_.views = {{3, {0, 1}}};
+  ownership_->Start();
+  RunFor(milliseconds(1'700));
+  SetEnoughOwners();
+  ownership_->RefreshOwners();
+  group_.leaves = 0;
+  RenewFor(milliseconds(3'500));
+  REQUIRE(ownership_->standby());
+  REQUIRE(lost_.size() == 2);
+  Release(0);
+  CHECK(group_.leaves == 0);
+  RunFor(kLongestRelease + milliseconds(100));
+  CHECK(group_.leaves == 1);
+}
+
 }  // namespace
 }  // namespace wigeonlane
