cells: a cell dealt back after a lapse begins once its former tenure is released

Cause: Ownership reported such a cell lost and gained in one turn, and the table destroyed the host that was still storing which leases it had granted. Change: cells of a lapsed membership are losses like others; a cell that is dealt back to us before its release is gained after it, or after kLongestRelease. The next tenure reads the record from the store. Ruled out: passing what the host knows on within the process. Another instance may have owned the cell and granted leases in between, which the store alone can tell: it fences the record then, and a successor removes a record before it starts anything. A tenure after a lapse begins one append and one join later.

--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -30,7 +30,7 @@
   /// The cell is ours under `token` from now on.
   std::function<void(CellNumber, TenureToken)> gained;
   /// The cell is another's once `released` is called, at the latest when our membership ends or
-  /// after `kLongestRelease` with the store in reach.
+  /// after `kLongestRelease` with the store in reach. It is not gained again before that.
   std::function<void(CellNumber, std::function<void()> released)> lost;
   /// The store confirmed a renewal that was sent at this time.
   std::function<void(Instant sent)> renewed;
@@ -164,6 +164,7 @@
     CellNumber cell = 0;
     std::uint64_t generation_before = 0;  ///< The newest that did not take the cell away.
     Duration kept{};                      ///< With the store in reach.
+    bool dealt_back = false;              ///< To us, by the newest generation.
   };
 
   void TakeOwners(const std::vector<PartOwner>& owners) {
@@ -274,7 +275,9 @@
     std::vector<std::uint64_t> numbers;
     for (const CellNumber cell : cells) {
       reclaim_.erase(cell);
-      losses_[++last_loss_] = {cell, generation_before};
+      Loss& loss = losses_[++last_loss_];
+      loss.cell = cell;
+      loss.generation_before = generation_before;
       numbers.push_back(last_loss_);
     }
     auto number = numbers.begin();
@@ -283,12 +286,15 @@
     }
   }
 
-  /// A renewal that confirms nothing more would only delay the one that does.
+  /// A renewal that neither confirms more nor gains a cell would only delay the one that does.
   void Released(std::uint64_t loss) {
     const std::uint64_t confirmed = Confirmed();
-    if (losses_.erase(loss) == 0 || leaving_) return;
+    const auto found = losses_.find(loss);
+    if (found == losses_.end() || leaving_) return;
+    const bool dealt_back = found->second.dealt_back;
+    losses_.erase(found);
     if (standby_ && losses_.empty()) return LeaveForStandby();
-    if (Confirmed() != confirmed) RenewNow();
+    if (dealt_back || Confirmed() != confirmed) RenewNow();
   }
 
   /// A record that cannot be stored must not keep the cell from an owner. An outage counts as one
@@ -323,10 +329,10 @@
     DropOverdueLosses(sent);
     renewed_at_ = sent;
     const std::uint64_t before = std::exchange(generation_, view.generation);
-    if (lapsed) {
-      for (const CellNumber cell : std::exchange(held_, {})) events_.lost(cell, [] {});
-    }
-    const std::set<CellNumber> now(view.parts.begin(), view.parts.end());
+    if (lapsed) Lose(std::exchange(held_, {}), before);
+    std::set<CellNumber> now(view.parts.begin(), view.parts.end());
+    // A tenure begins after the release of the one before, whose record it reads.
+    for (auto& [number, loss] : losses_) loss.dealt_back = now.erase(loss.cell) > 0;
     std::set<CellNumber> lost;
     std::set_difference(held_.begin(), held_.end(), now.begin(), now.end(),
                         std::inserter(lost, lost.end()));
--- a/tests/cells/cell_release_test.cc
+++ b/tests/cells/cell_release_test.cc
@@ -234,5 +234,23 @@
   CHECK(group_.leaves == 1);
 }
 
+// Against a tenure that begins before the one before it has stored what it knows.
+TEST_CASE_METHOD(CellReleaseTest, "Gain_LapsedCellsAreDealtBack_EachBeginsAfterItsRelease") {
+  group_.views = {{3, {0, 1}}};
+  ownership_->Start();
+  gained_.clear();
+  group_.views = {{7, {0, 1}}};
+  clock_.Advance(milliseconds(6'000));
+  ownership_->RenewNow();
+  REQUIRE(lost_.size() == 2);
+  CHECK(gained_.empty());
+  Release(1);
+  REQUIRE(gained_.size() == 1);
+  CHECK(gained_[0] == std::pair<CellNumber, TenureToken>(1, 7 * kCells + 1));
+  RenewFor(kLongestRelease + kPause);  // The other release never ends.
+  REQUIRE(gained_.size() == 2);
+  CHECK(gained_[1] == std::pair<CellNumber, TenureToken>(0, 7 * kCells));
+}
+
 }  // namespace
 }  // namespace wigeonlane
