net: a request whose time is over is not sent, also after a pause of the process

Cause: the timeout of a request was told by its timer alone. After a pause answers are handled before timers, so Dispatch sent what had expired; so did the end of connecting. The timer of an answered exchange could also end the connection under the request that it carried next. Class: an action allowed for a time that checks it only by an event that comes late. Change: each exchange knows when it ends, by the clock that counts suspension. Dispatch passes over what is overdue and connecting does not go on to write it; the callers hear kNotRun, never inside Send. An answered exchange does not time out any more. Ruled out: shorter timeouts (a pause may be of any length); handling timers first (asio decides that). Not mended: requests that wait when a connection breaks go on only with the next Send or answer.

--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -13,6 +13,7 @@
 #include <optional>
 #include <utility>
 
+#include "core/boot_clock.h"
 #include "core/text.h"
 #include "net/http_feed.h"
 
@@ -27,6 +28,7 @@
 constexpr std::uint64_t kLargestBody = 16 * 1024 * 1024;
 /// Bounds how long unacknowledged bytes keep a connection alive when the peer has gone silent.
 constexpr std::chrono::milliseconds kUserTimeout{2'000};
+constexpr std::string_view kTimedOutWaiting = "timed out waiting for a connection";
 
 std::string FormatRequest(const HttpRequest& request, const Endpoint& server) {
   std::string text = Concat(request.method, " ", request.target, " HTTP/1.1\r\nHost: ",
@@ -41,7 +43,12 @@
 
 /// One request on its way; `callback` is empty once the outcome has been told.
 struct AsyncHttpClient::Exchange {
-  Exchange(asio::io_context* io, HttpCallback given) : callback(std::move(given)), timer(*io) {}
+  Exchange(asio::io_context* io, Instant until, HttpCallback given)
+      : callback(std::move(given)), expires_at(until), timer(*io) {}
+
+  /// Answers are handled before timers, which also stand still while the instance is suspended, so
+  /// the timer alone does not tell after a pause.
+  bool overdue() const { return BootClock().Now() >= expires_at; }
 
   void Finish(HttpExchange outcome) {
     timer.cancel();
@@ -62,8 +69,11 @@
 
   std::string bytes;
   HttpCallback callback;
+  const Instant expires_at;
   asio::steady_timer timer;
   bool sent = false;
+  /// The answer is here and is told next; the connection may carry another exchange by then.
+  bool answered = false;
   Connection* carrier = nullptr;
 };
 
@@ -87,6 +97,7 @@
       if (self->client_ == nullptr) return;
       if (error) return self->Break("connect: " + error.message());
       self->SetOptions();
+      if (self->exchange_->overdue()) return self->GiveUp();
       self->Write();
     });
   }
@@ -131,6 +142,14 @@
     Read();
   }
 
+  /// Ends the exchange before anything was sent; the connection carries others.
+  void GiveUp() {
+    auto exchange = std::exchange(exchange_, nullptr);
+    Read();
+    client_->Dispatch();
+    exchange->Fail(kTimedOutWaiting);
+  }
+
   /// Keeps one read pending, on idle connections too, so that a close by the server is noticed
   /// before the next request is written.
   void Read() {
@@ -165,6 +184,7 @@
     outcome.execution = Execution::kRan;
     const bool keep = message.keep_alive();
     auto exchange = std::exchange(exchange_, nullptr);
+    exchange->answered = true;
     if (buffer_.empty()) buffer_.shrink_to_fit();
     AsyncHttpClient* client = client_;
     if (!keep) {
@@ -201,13 +221,9 @@
 
 void AsyncHttpClient::Send(const HttpRequest& request, std::chrono::milliseconds timeout,
                            HttpCallback callback) {
-  auto exchange = std::make_shared<Exchange>(io_, std::move(callback));
+  auto exchange = std::make_shared<Exchange>(io_, BootClock().Now() + timeout, std::move(callback));
   exchange->bytes = FormatRequest(request, server_);
-  exchange->timer.expires_after(timeout);
-  exchange->timer.async_wait([exchange, this](asio::error_code error) {
-    if (error || exchange->callback == nullptr) return;
-    Expire(exchange);
-  });
+  ExpireAfter(timeout, exchange);
   waiting_.push_back(std::move(exchange));
   Dispatch();
 }
@@ -218,7 +234,7 @@
 }
 
 void AsyncHttpClient::Dispatch() {
-  while (!waiting_.empty()) {
+  for (auto next = FirstInTime(); next != waiting_.end(); next = FirstInTime()) {
     auto idle = std::find_if(connections_.begin(), connections_.end(),
                              [](const auto& connection) { return connection->idle(); });
     if (idle == connections_.end()) {
@@ -226,16 +242,34 @@
       connections_.push_back(std::make_shared<Connection>(this));
       idle = std::prev(connections_.end());
     }
-    auto exchange = std::move(waiting_.front());
-    waiting_.pop_front();
+    auto exchange = std::move(*next);
+    waiting_.erase(next);
     (*idle)->Carry(std::move(exchange));
   }
 }
 
+std::deque<std::shared_ptr<AsyncHttpClient::Exchange>>::iterator AsyncHttpClient::FirstInTime() {
+  return std::find_if(waiting_.begin(), waiting_.end(), [this](const auto& exchange) {
+    if (!exchange->overdue()) return true;
+    // Its caller may be the one that sends now, so it is told later.
+    ExpireAfter(std::chrono::milliseconds(0), exchange);
+    return false;
+  });
+}
+
+void AsyncHttpClient::ExpireAfter(std::chrono::milliseconds time,
+                                  const std::shared_ptr<Exchange>& exchange) {
+  exchange->timer.expires_after(time);
+  exchange->timer.async_wait([exchange, this](asio::error_code error) {
+    if (error || exchange->answered || exchange->callback == nullptr) return;
+    Expire(exchange);
+  });
+}
+
 void AsyncHttpClient::Expire(const std::shared_ptr<Exchange>& exchange) {
   if (exchange->carrier != nullptr) return exchange->carrier->Break("timed out");
   std::erase(waiting_, exchange);
-  exchange->Fail("timed out waiting for a connection");
+  exchange->Fail(kTimedOutWaiting);
 }
 
 void AsyncHttpClient::Drop(const Connection* connection) {
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -27,7 +27,8 @@
 
   /// Sends `request` and calls back with the answer, or with an error when there is none within
   /// `timeout`, which includes the wait for a connection. `HttpExchange::execution` is kNotRun
-  /// only when no byte of the request was written.
+  /// only when no byte of the request was written. None is written once `timeout` is over, also
+  /// when the process stood still meanwhile.
   void Send(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallback callback);
 
   /// Whether a connection is open on which an answer has come before.
@@ -40,6 +41,9 @@
   class Connection;
 
   void Dispatch();
+  /// The next request to send; those before it are overdue and end soon.
+  std::deque<std::shared_ptr<Exchange>>::iterator FirstInTime();
+  void ExpireAfter(std::chrono::milliseconds time, const std::shared_ptr<Exchange>& exchange);
   void Expire(const std::shared_ptr<Exchange>& exchange);
   void Drop(const Connection* connection);
 
