scheduling: a new holder counts machines of the wave that are listed as not up

Class: state that only the former holder knew decides about a limit that the platform could tell. Change: what the first list shows as not up counts as away; recorded ones are done and the others wait again once they are listed up. A machine that stays away for 6 s (three times MaintenanceS) counts no longer, inherited or not, so that lost machines hold no wave up. Ruled out: waiting until all of the wave are up (one lost machine stops the wave); to count whatever goes away later (moves and dark racks would slow each wave of a holder that has been there all along).

--- a/scheduling/upkeep_planner.cc
+++ b/scheduling/upkeep_planner.cc
@@ -8,6 +8,8 @@
 
 /// A machine is down for 2 s (MaintenanceS); a list that shows it up before is out of date.
 constexpr std::chrono::milliseconds kLeastDown{1'800};
+/// Three times MaintenanceS: a machine that is away for longer is lost, or away for another cause.
+constexpr std::chrono::milliseconds kLongestDown{6'000};
 /// From preparing a machine to its return: tasks of 0.6 to 1.6 s, a wait for other machines that
 /// hold tasks of the same step, 2 s of upkeep, lists and joins.
 constexpr std::chrono::milliseconds kRound{7'000};
@@ -31,14 +33,28 @@
 }
 
 void WavePlan::TakeMachines(const std::map<std::string, ListedMachine>& machines, Instant now) {
+  if (!std::exchange(listed_before_, true)) TakeOverAway(machines, now);
   for (auto& [machine, phase] : phases_) {
     const auto listed = machines.find(machine);
     if (listed == machines.end()) {
       phase = UpkeepPhase::kDone;
-    } else if (listed->second.up && now - down_since_[machine] >= kLeastDown) {
-      if (phase == UpkeepPhase::kDown) phase = UpkeepPhase::kDone;
-      if (phase == UpkeepPhase::kBusy) phase = UpkeepPhase::kWaiting;
+      continue;
     }
+    const Duration down = now - down_since_[machine];
+    if (down < (listed->second.up ? kLeastDown : kLongestDown)) continue;
+    if (phase == UpkeepPhase::kDown) phase = UpkeepPhase::kDone;
+    if (phase == UpkeepPhase::kBusy) phase = UpkeepPhase::kWaiting;
+  }
+}
+
+void WavePlan::TakeOverAway(const std::map<std::string, ListedMachine>& machines, Instant now) {
+  for (auto& [machine, phase] : phases_) {
+    const auto listed = machines.find(machine);
+    if (listed == machines.end() || listed->second.up) continue;
+    if (phase != UpkeepPhase::kDone && phase != UpkeepPhase::kWaiting) continue;
+    phase = phase == UpkeepPhase::kDone ? UpkeepPhase::kDown : UpkeepPhase::kBusy;
+    // They went down before this list, so the first that shows them up again is not out of date.
+    down_since_[machine] = now - kLeastDown;
   }
 }
 
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -38,7 +38,7 @@
   kWaiting,
   kPreparing,  ///< Nothing new is started there; its tasks are waited for.
   kOrdered,    ///< The order is under way or was not answered: it may be down.
-  kBusy,       ///< Found not up when ordered: perhaps down by an order that was not answered.
+  kBusy,       ///< Found not up: perhaps down by an order that was not answered or recorded.
   kDown,
   kDone,
 };
@@ -52,6 +52,8 @@
   void MarkDone(const std::set<std::string>& machines);
 
   /// Takes the list of machines into account. Machines that are not listed any more need nothing.
+  /// Those that the first list shows as not up may be down by a former holder's orders: they count
+  /// as away until they are up, or for a few seconds, as lost machines must not hold the wave up.
   void TakeMachines(const std::map<std::string, ListedMachine>& machines, Instant now);
 
   /// Machines to prepare now: those being prepared and as many more as should be.
@@ -78,6 +80,7 @@
   const UpkeepWave& wave() const { return wave_; }
 
  private:
+  void TakeOverAway(const std::map<std::string, ListedMachine>& machines, Instant now);
   std::uint32_t Count(UpkeepPhase phase) const;
   std::uint32_t Away() const {
     return Count(UpkeepPhase::kOrdered) + Count(UpkeepPhase::kBusy) + Count(UpkeepPhase::kDown);
@@ -88,6 +91,7 @@
   Instant deadline_;
   std::map<std::string, UpkeepPhase> phases_;
   std::map<std::string, Instant> down_since_;
+  bool listed_before_ = false;
 };
 
 }  // namespace wigeonlane
