--- a/tests/scheduling/upkeep_takeover_test.cc
+++ b/tests/scheduling/upkeep_takeover_test.cc
@@ -35,9 +35,7 @@
   }
 
   /// How many machines the plan would take down now.
-  std::size_t Takes(WavePlan* plan) {
-    return plan->ToPrepare(machines_, now_).size();
-  }
+  std::size_t Takes(WavePlan* plan) { return plan->ToPrepare(machines_, now_).size(); }
 
   void Pass(milliseconds time, WavePlan* plan) {
     now_ += time;
