cells: a look that cannot extend a lease waits 200 ms at most, so runs outlive an outage of 4.5 s

Callers would have seen: work thrown away in outages of the store of 4 s and more. Cause: looks without a lease still waited 1.5 s at the runner; when the store was back, the next look, which extends the lease, came too late. Change: such looks wait 200 ms at most.

--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -20,14 +20,14 @@
   std::chrono::milliseconds longest_delay{13'000};
   /// Longest outage of the store through which an owner goes on starting work.
   std::chrono::milliseconds authority{3'000};
-  /// Runs outlive outages of the store that are somewhat shorter than this (the platform's last
-  /// about 4.5 s). With the takeover (about 1.6 s) it stays below the time that a lasting task may
-  /// be away (the platform's rule on lost tasks: 9 s).
+  /// Nothing that an owner granted lasts longer after its last renewal. Bounded from below by the
+  /// platform's outages of the store (about 4.5 s), which runs should outlive, and from above by
+  /// the time that a lasting task may be away (9 s) less a takeover (about 1.6 s).
   std::chrono::milliseconds lease_reach{5'800};
   /// Share of true time that the slowest runner's clock counts (platform: 2% slow).
   double slowest_clock = 0.98;
-  /// An idle runner's clock is read again after this: in a minute the slowest one falls behind by
-  /// 1.2 s, which the validity of a start must bear.
+  /// An idle runner's clock is read again after this. Within a minute a slow one falls behind by up
+  /// to 1.2 s, by which deadlines on it are uncertain.
   std::chrono::milliseconds clock_age{60'000};
   /// Covers the round trip and the rounding of clocks to milliseconds.
   std::chrono::milliseconds slack{200};
@@ -41,6 +41,8 @@
   std::chrono::milliseconds stop_repeat{300};
   /// Longest wait of a look; renews the lease several times over.
   std::chrono::milliseconds look_wait{1'500};
+  /// Longest wait of a look that cannot extend the lease; about a renewal's period.
+  std::chrono::milliseconds unleased_wait{200};
   /// Wait of a look on a runner whose serving tasks must be watched.
   std::chrono::milliseconds watch_wait{500};
   /// Least time between two looks at one runner, so that ends are noted in batches.
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -228,6 +228,8 @@
   if (runner->claimed && runner->looks_failed == 0 && !runner->runs.empty()) {
     const bool watched = runner->watched;
     look.wait = watched ? options_.watch_wait : options_.look_wait;
+    // The lease is extended by the next look; it must not wait once authority is back.
+    if (!look.lease) look.wait = std::min(look.wait, options_.unleased_wait);
   }
   runner->looking = true;
   ++counters_.looks;
--- a/tests/cells/cell_lease_test.cc
+++ b/tests/cells/cell_lease_test.cc
@@ -60,5 +60,25 @@
   CHECK(world.broken().empty());
 }
 
+// Guards against runs that lapsed in outages of the store that they should outlive: a look without
+// a lease waited at the runner while the store was back.
+TEST_CASE("Run_StoreAwayForAsLongAsItsOutagesLast_Survives") {
+  constexpr milliseconds kOutage{4'500};
+  constexpr milliseconds kStep{100};
+  constexpr std::size_t kLastingShape = 3;
+  constexpr std::size_t kSound = 16;
+  for (milliseconds phase{0}; phase < milliseconds(2'000); phase += kStep) {
+    CellWorld world;
+    world.Submit(kLastingShape, kSound);
+    world.Advance(milliseconds(2'000) + phase);
+    const std::uint64_t starts = world.cell()->counters().starts;
+    world.StoreDown(kOutage);
+    world.Advance(milliseconds(9'000));
+    INFO("phase " << phase.count() << " ms");
+    CHECK(world.cell()->counters().starts == starts);
+    CHECK(world.RunnersOf(0).size() == 2);
+  }
+}
+
 }  // namespace
 }  // namespace wigeonlane
