cells: only occurrences that a former owner started early wait for the clock here

Callers would have seen: due work that waits again after a clock was set back. Cause: every start compared the due time with the clock of the moment. Change: an occurrence that is created before it is due is marked, and the mark goes once it is due. Evidence: Task_ClockSetBackAfterItsOccurrenceCameDue_StartsAllTheSame: no start before, two now.

--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -91,7 +91,7 @@
 void Cell::PlaceJob(JobEntry* entry, CellTime time) {
   const Job& job = entry->job;
   for (std::uint32_t occurrence = 0; occurrence < job.occurrences().size(); ++occurrence) {
-    if (time.wall < job.DueAt(occurrence)) continue;
+    if (job.occurrences()[occurrence].early) continue;
     const auto steps = static_cast<std::uint32_t>(job.occurrences()[occurrence].steps.size());
     for (std::uint32_t step = 0; step < steps; ++step) {
       const StepProgress& progress = job.occurrences()[occurrence].steps[step];
--- a/jobs/job_progress.cc
+++ b/jobs/job_progress.cc
@@ -116,12 +116,21 @@
 bool Job::Materialize(UnixTime now) {
   const std::size_t before = occurrences_.size();
   while (NextDue() <= now) occurrences_.push_back(NewOccurrence(spec_));
-  return occurrences_.size() > before;
+  bool now_due = false;
+  for (std::uint32_t number = 0; number < before; ++number) {
+    if (!occurrences_[number].early || now < DueAt(number)) continue;
+    occurrences_[number].early = false;
+    now_due = true;
+  }
+  return now_due || occurrences_.size() > before;
 }
 
 void Job::MaterializeStarted(std::uint32_t occurrence) {
   if (occurrence >= spec_.occurrences()) return;
-  while (occurrences_.size() <= occurrence) occurrences_.push_back(NewOccurrence(spec_));
+  while (occurrences_.size() <= occurrence) {
+    occurrences_.push_back(NewOccurrence(spec_));
+    occurrences_.back().early = true;
+  }
 }
 
 UnixTime Job::DueAt(std::uint32_t occurrence) const {
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -73,6 +73,7 @@
 struct Occurrence {
   std::vector<StepProgress> steps;
   bool complete = false;
+  bool early = false;  ///< Started by a former owner and not due by the clock here: starts wait.
 };
 
 /// A job that was accepted. Pure state: the caller passes times and makes it durable.
--- a/tests/cells/cell_timed_test.cc
+++ b/tests/cells/cell_timed_test.cc
@@ -63,9 +63,11 @@
   std::vector<ListedRun> running_;
   std::vector<ListedEnd> ended_;
   std::vector<TaskId> started_;
+  bool silent_ = false;  ///< The runner answers no look.
 
  private:
   void Answer(const LookOrder& look) {
+    if (silent_) return cell_.Looked(look, OrderAnswer::kUnanswered, {}, {now_, wall_});
     std::erase_if(ended_, [&](const ListedEnd& end) { return end.number <= look.forget_up_to; });
     RunnerReport report;
     report.born = runner_.born;
@@ -97,5 +99,16 @@
   CHECK(started_.empty());
 }
 
+// Guards against due work that waits again because the clock here was set back.
+TEST_CASE_METHOD(CellTimedTest, "Task_ClockSetBackAfterItsOccurrenceCameDue_StartsAllTheSame") {
+  silent_ = true;
+  Pass(kDueIn + milliseconds(500));
+  REQUIRE(started_.empty());
+  wall_ -= milliseconds(8'000);
+  silent_ = false;
+  Pass(milliseconds(2'000));
+  CHECK(started_.size() == 2);
+}
+
 }  // namespace
 }  // namespace wigeonlane
