cells: a task that failed lately does not hold back the others of its step

Callers would have seen: steps that stand still for a second on a full pool. Cause: a step was given up for the round when one of its tasks found no place, since the others need as much room; a task that may not go where it failed just now tells nothing of the others. Change: it is passed over. Evidence: OtherTasks_OneFailedOnTheOnlyRunnerWithRoom_StartThere: one start before, two now.

--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -20,10 +20,14 @@
 constexpr std::chrono::milliseconds kKeepRoom{500};
 /// One runner in so many may be kept, so that short tasks go on.
 constexpr std::size_t kKeptShare = 4;
-/// A task that failed on a runner goes elsewhere for this long. Others may never have a place for
-/// it, and a lasting task may be away for 9 s at most (the platform's rule on lost tasks).
+/// A task that failed on a runner goes elsewhere for this long; a lasting task may be away for 9 s
+/// at most (the platform's rule on lost tasks).
 constexpr std::chrono::milliseconds kFailedThere{1'000};
 
+bool FailedLately(const TaskState& task, Instant now) {
+  return task.failed_on != kNoRunner && now < task.failed_at + kFailedThere;
+}
+
 }  // namespace
 
 RunNumber Cell::NextRun(const JobEntry& entry, RunNumber last) const {
@@ -119,6 +123,7 @@
       KeepRoom(*entry, id, time.now);
       continue;
     }
+    if (runner == nullptr && FailedLately(tasks[index], time.now)) continue;
     // The step's other tasks need as much.
     if (runner == nullptr) return AskAdvisor(entry, occurrence, step, time.now);
     Start(entry, id, runner, NextRun(*entry, tasks[index].last_run), time);
@@ -185,7 +190,7 @@
   const StepSpec& step = entry.job.spec().steps[id.step];
   const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
   if (runner.runs.contains(id)) return false;
-  if (task.failed_on == runner.key && now < task.failed_at + kFailedThere) return false;
+  if (task.failed_on == runner.key && FailedLately(task, now)) return false;
   if (step.most_per_runner > 0 && RunsOfStep(runner, id) >= step.most_per_runner) return false;
   if (!entry.job.policy().advice) return true;
   const StepAdmission* admission = FindAdmission(entry, id);
--- a/tests/cells/cell_placement_test.cc
+++ b/tests/cells/cell_placement_test.cc
@@ -73,5 +73,21 @@
   CHECK(IdOf(starts_.back().runner) != first);
 }
 
+// Guards against a pause of one task that held back the others of its step.
+TEST_CASE_METHOD(CellPlacementTest, "OtherTasks_OneFailedOnTheOnlyRunnerWithRoom_StartThere") {
+  Begin(1, {1'000, 1'000, 0});
+  Pass(milliseconds(200));
+  StepSpec step = SmallStep();
+  step.count = 3;
+  QueuePolicy policy;
+  policy.max_attempts = 3;
+  Submit(step, policy);
+  Pass(milliseconds(100));
+  REQUIRE(starts_.size() == 1);
+  FailOldest(RunnerName(0));
+  Pass(milliseconds(500));
+  CHECK(starts_.size() == 2);
+}
+
 }  // namespace
 }  // namespace wigeonlane
