cells: an idle runner that could not be reached once is asked on

Cause: after a failed look a runner takes no starts until one succeeds, and a runner without runs was not looked at. Discovery has nothing to tell while the runner reaches the store. Change: a failed look is repeated, runs or not. Evidence: IdleRunner_OneLookFailed_IsUsedAgain: no start before, one now.

--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -210,7 +210,7 @@
 }
 
 void Cell::MaybeLook(Runner* runner, CellTime time) {
-  const bool wanted = !runner->claimed || !runner->runs.empty() ||
+  const bool wanted = !runner->claimed || !runner->runs.empty() || runner->looks_failed > 0 ||
                       runner->told_end < runner->stored_end ||
                       time.now - runner->clock_at > options_.clock_age;
   if (!wanted || runner->looking || time.now < runner->next_look) return;
--- a/tests/cells/cell_placement_test.cc
+++ b/tests/cells/cell_placement_test.cc
@@ -89,5 +89,23 @@
   CHECK(starts_.size() == 2);
 }
 
+// Guards against a sound runner that was left alone (LOST): it could not be reached for a moment,
+// the start there was not sent, and nothing made its owner look again.
+TEST_CASE_METHOD(CellPlacementTest, "IdleRunner_OneLookFailed_IsUsedAgain") {
+  BeginWith(1);
+  Submit(SmallStep());
+  Pass(milliseconds(100));
+  REQUIRE(starts_.size() == 1);
+  LookOrder look;
+  look.runner = cell_->FindRunnerById(RunnerName(0))->key;
+  EndAll();
+  Pass(milliseconds(2'000));
+  cell_->Looked(look, OrderAnswer::kUnanswered, {}, Time());
+  Submit(SmallStep(), {}, "00000000000000a2");
+  const std::size_t before = starts_.size();
+  Pass(milliseconds(1'000));
+  CHECK(starts_.size() == before + 1);
+}
+
 }  // namespace
 }  // namespace wigeonlane
