--- a/cells/cell.h
+++ b/cells/cell.h
@@ -180,7 +180,7 @@
   Instant LeaseLimit() const {
     return authority_until_ + (options_.lease_reach - options_.authority);
   }
-  /// Whether tasks of the job may run where nobody has looked since the takeover.
+  /// Whether tasks of the job may run on a runner that has not answered since the takeover.
   bool HeldBack(const JobEntry& entry) const {
     return entry.inherited && unsettled_.HoldsBack(entry.job.policy().service);
   }
@@ -211,7 +211,7 @@
   void AdvanceStops(Runner* runner, CellTime time);
   void MaybeLook(Runner* runner, CellTime time);
   void TakeReport(Runner* runner, const RunnerReport& report, CellTime time);
-  static TaskState* FindStartedTask(JobEntry* entry, const TaskId& id, UnixTime wall);
+  static TaskState* FindListedTask(JobEntry* entry, const TaskId& id, UnixTime wall);
   void TakeEnd(Runner* runner, const ListedEnd& end, CellTime time);
   void TakeFailure(Runner* runner, JobEntry* entry, const ListedEnd& end, Instant ordered,
                    CellTime time);
--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -28,7 +28,7 @@
   double slowest_clock = 0.98;
   /// An idle runner's clock is read again after this. Within a minute a slow one falls behind by up
   /// to 1.2 s, by which deadlines on it are uncertain.
-  std::chrono::milliseconds clock_age{60'000};
+  std::chrono::milliseconds clock_refresh{60'000};
   /// Covers the round trip and the rounding of clocks to milliseconds.
   std::chrono::milliseconds slack{200};
 
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -75,7 +75,7 @@
 
 /// A task that a runner lists. Its occurrence may not be due by the clock of this instance, when a
 /// former owner's was ahead.
-TaskState* Cell::FindStartedTask(JobEntry* entry, const TaskId& id, UnixTime wall) {
+TaskState* Cell::FindListedTask(JobEntry* entry, const TaskId& id, UnixTime wall) {
   if (entry == nullptr) return nullptr;
   if (entry->job.DueAt(id.occurrence) <= wall + kClockSpread) {
     entry->job.MaterializeStarted(id.occurrence);
@@ -88,7 +88,7 @@
   const LiveRun* live = FindRun(runner, end.task, end.run);
   const Instant ordered = live == nullptr ? Instant{} : live->ordered;
   JobEntry* entry = FindJob(end.task.job);
-  TaskState* task = FindStartedTask(entry, end.task, time.wall);
+  TaskState* task = FindListedTask(entry, end.task, time.wall);
   LogDecision("run_end", {{"job", std::string(end.task.job.text())},
                           {"task", end.task.ToString()},
                           {"run", Concat(end.run)},
@@ -156,7 +156,7 @@
 
 void Cell::TakeRunning(Runner* runner, const ListedRun& row, RunnerClock clock, CellTime time) {
   JobEntry* entry = FindJob(row.task.job);
-  TaskState* task = FindStartedTask(entry, row.task, time.wall);
+  TaskState* task = FindListedTask(entry, row.task, time.wall);
   if (LiveRun* live = FindRun(runner, row.task, row.run)) {
     if (live->phase == RunPhase::kStarting) live->phase = RunPhase::kRunning;
     live->listed = true;
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -191,8 +191,7 @@
   }
   for (const RunnerKey key : lost) {
     const Runner& runner = runners_.at(key);
-    // Discovery tells of changes only: one that it still lists must be asked on, or it is never
-    // used again once it can be reached.
+    // Discovery reports changes only, so a runner that it still lists is asked until it answers.
     const auto listing = runner.listed ? std::optional(runner.listing) : std::nullopt;
     LoseRunner(key, "silent until its lease ended", time);
     if (listing) AddRunner(*listing, time.now);
@@ -212,7 +211,7 @@
 void Cell::MaybeLook(Runner* runner, CellTime time) {
   const bool wanted = !runner->claimed || !runner->runs.empty() || runner->looks_failed > 0 ||
                       runner->told_end < runner->stored_end ||
-                      time.now - runner->clock_at > options_.clock_age;
+                      time.now - runner->clock_at > options_.clock_refresh;
   if (!wanted || runner->looking || time.now < runner->next_look) return;
   if (runner->claimed && runner->runs.empty() && !runner->listed) return;
   LookOrder look;
--- a/cells/unsettled_runners.h
+++ b/cells/unsettled_runners.h
@@ -1,4 +1,4 @@
-/// Runners of a predecessor that have not been heard from since a takeover, and the services whose
+/// Runners of a predecessor that have not answered since a takeover, and the services whose
 /// inherited jobs they hold back.
 #ifndef WIGEONLANE_CELLS_UNSETTLED_RUNNERS_H_
 #define WIGEONLANE_CELLS_UNSETTLED_RUNNERS_H_
@@ -28,7 +28,7 @@
     }
   }
 
-  /// The runner was heard from or is lost. Returns whether its service is held back no more.
+  /// The runner has answered or is lost. Returns whether it was the last of its service.
   bool Remove(RunnerKey key) {
     const auto found = services_.find(key);
     if (found == services_.end()) return false;
