daemon: a test that fails, open orders to machines are sent again in each round

Shown: a platform that answers each order after the next list of machines. 60 machines of one wave; machines are ordered more than once although each order is answered.

--- /dev/null
+++ b/tests/daemon/machine_order_test.cc
@@ -0,0 +1,131 @@
+/// Orders to machines, from the coordinator to a platform that answers them late, over loopback.
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "daemon/machine_coordinator.h"
+#include "net/async_http_server.h"
+
+namespace wigeonlane {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kMachines = 60;
+/// More than the rounds in which all orders of a wave leave.
+constexpr int kMostLists = 400;
+constexpr TenureToken kToken = 8;
+
+/// A platform that answers orders only once it has been asked for the list of machines again, so
+/// that every order is open during at least one round of the coordinator.
+class MachineOrderTest {
+ protected:
+  MachineOrderTest() {
+    REQUIRE(server_.Listen(at_).ok());
+    coordinator_.ExtendAuthority(BootClock().Now() + std::chrono::hours(1));
+    UpkeepWave wave;
+    wave.number = 1;
+    wave.within = milliseconds(1);
+    wave.most_at_once = kMachines;
+    for (int i = 0; i < kMachines; ++i) wave.machines.push_back(MachineName(i));
+    coordinator_.SetWaves({wave});
+  }
+
+  static Endpoint FreeEndpoint() {
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+  }
+
+  static std::string MachineName(int number) { return Concat("m-", number); }
+
+  static MachineCoordinator::Options Options(const Division* division) {
+    MachineCoordinator::Options options;
+    options.holder = "i-1";
+    options.division = division;
+    options.predecessor = [] { return RolePredecessor{true, Instant{}}; };
+    return options;
+  }
+
+  void Serve(const HttpRequest& request, const HttpReply& reply) {
+    if (request.target.starts_with("/machines")) return ServeList(reply);
+    if (request.target.starts_with("/machine-")) return TakeOrder(request, reply);
+    if (request.target.starts_with("/log-newest")) {
+      return reply({200, R"({"items":[],"HasMore":false,"EndOffset":0})", {}});
+    }
+    reply({200, R"({"Offset":0,"EndOffset":1})", {}});
+  }
+
+  void TakeOrder(const HttpRequest& request, const HttpReply& reply) {
+    const auto body = nlohmann::json::parse(request.body);
+    const std::string machine = body.at("Machine");
+    ++orders_[machine];
+    open_.emplace_back(machine, reply);
+    most_open_ = std::max(most_open_, open_.size());
+  }
+
+  void ServeList(const HttpReply& reply) {
+    ++lists_;
+    nlohmann::json rows = nlohmann::json::array();
+    for (int i = 0; i < kMachines; ++i) {
+      const std::string name = MachineName(i);
+      rows.push_back({{"Machine", name},
+                      {"Pool", "quotes"},
+                      {"State", down_.contains(name) ? "upkeep" : "up"},
+                      {"Capacity", {{"Cpu", 32'000}}}});
+    }
+    for (auto& [machine, answer] : std::exchange(open_, {})) {
+      down_.insert(machine);
+      answer({200, "{}", {}});
+    }
+    reply({200, nlohmann::json({{"Machines", rows}}).dump(), {}});
+  }
+
+  void RunUntilAllAreDown() {
+    while (down_.size() < kMachines && lists_ < kMostLists) io_.run_one_for(seconds(10));
+    const int lists = lists_ + 3;
+    while (lists_ < lists) io_.run_one_for(seconds(10));
+  }
+
+  asio::io_context io_;
+  const Endpoint at_ = FreeEndpoint();
+  std::map<std::string, int> orders_;
+  std::vector<std::pair<std::string, HttpReply>> open_;
+  std::size_t most_open_ = 0;
+  std::set<std::string> down_;
+  int lists_ = 0;
+  AsyncHttpServer server_{
+      &io_, [this](const HttpRequest& request, const HttpReply& reply) { Serve(request, reply); },
+      [] { return HttpServerLimits(); }};
+  MetricsRegistry metrics_;
+  MachineClient machines_{&io_, at_, &metrics_};
+  StoreClient store_{&io_, at_, &metrics_};
+  CallRouter router_{&io_, Endpoint{}, RouterHooks{}};
+  Division division_;
+  MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_, Options(&division_)};
+};
+
+// Guards against orders that are sent again while they are open: the repeats fill the queue of
+// orders until each is sent too late to be answered, and no machine is moved for many seconds.
+TEST_CASE_METHOD(MachineOrderTest,
+                 "Upkeep_OrdersAreOpenForSeveralRounds_EachMachineIsOrderedOnce") {
+  coordinator_.Start(kToken);
+  RunUntilAllAreDown();
+  CHECK(down_.size() == kMachines);
+  const bool once = std::all_of(orders_.begin(), orders_.end(),
+                                [](const auto& entry) { return entry.second == 1; });
+  CHECK(once);
+}
+
+}  // namespace
+}  // namespace wigeonlane
