daemon: at most one open order a machine, and a window for them that the platform's rate sets

Callers saw: on the large site the service whose turn it is got no machines for up to 16 s. Cause: a queue that feeds on itself. Each round of the coordinator (20 to 100 ms) sent every order without an answer again, upkeep and moves, also while the first was still open; all of them stood in line for 8 connections with 1.5 s for the wait and the answer together. Once the line was 1.5 s long, each order left with a few ms to go, timed out on its way and took its connection with it. Change: orders go through MachineOrders. OrderWindow holds at most one order a machine and as many open ones as there are connections, upkeep and moves by turns, at the rate that the platform states (CloudApi.DutyPerS, until now read by nobody). What waits longer than three rounds is dropped, since the next round asks again for what still matters. Whether an order is wanted (authority, cap of the wave, move not given up) is asked when it is sent, not when it is put in line. Ruled out: a longer timeout or more connections alone; both only move the point where it starts.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -25,6 +25,13 @@
 /// The owner must hear that a runner is gone, or it waits for the end of its lease.
 constexpr std::chrono::milliseconds kGoneHandover{1'000};
 
+OrderWindowOptions WindowOptions(const MachineCoordinator::Options& options) {
+  OrderWindowOptions window;
+  window.most_open = MachineClient::kMostOpenOrders;
+  window.per_second = options.orders_per_second;
+  return window;
+}
+
 std::string WaveKey(std::uint64_t wave) { return Concat("wave/", wave); }
 
 void LogIfLost(std::string_view what, AppendResult result) {
@@ -38,10 +45,11 @@
 MachineCoordinator::MachineCoordinator(asio::io_context* io, MachineClient* machines,
                                        StoreClient* store, CallRouter* router, Options options)
     : machines_(machines),
+      orders_(io, machines, WindowOptions(options)),
       store_(store),
       router_(router),
       options_(std::move(options)),
-      balancer_(machines, router, options_.division),
+      balancer_(&orders_, router, options_.division),
       role_({options_.takeover_wait, options_.machine_lease}),
       timer_(*io) {}
 
@@ -70,6 +78,7 @@
   ++tenure_;
   active_ = false;
   timer_.cancel();
+  orders_.DropWaiting();
   role_.NotePredecessor(options_.predecessor());
   const Instant now = clock_.Now();
   return role_.PauseOfSuccessor(machines_->LastOrder(now), now);
@@ -192,17 +201,25 @@
 
 void MachineCoordinator::Order(std::uint64_t wave, const ListedMachine& machine,
                                std::uint64_t tenure) {
+  MachineOrder order;
+  order.kind = OrderKind::kUpkeep;
+  order.holder = {options_.holder, token_};
+  order.machine = machine.machine;
+  order.wave = wave;
+  order.begin = [this, wave, name = machine.machine, tenure] {
+    return BeginOrder(wave, name, tenure);
+  };
+  order.done = [this, wave, machine, tenure](MachineAnswer answer) {
+    if (tenure == tenure_) Ordered(wave, machine, answer, tenure);
+  };
+  orders_.Request(std::move(order));
+}
+
+/// Whether the machine may be taken down now; it counts as away from then on.
+bool MachineCoordinator::BeginOrder(std::uint64_t wave, const std::string& machine,
+                                    std::uint64_t tenure) {
   const auto plan = plans_.find(wave);
-  if (!HasAuthority(tenure) || plan == plans_.end()) return;
-  const auto unanswered = plan->second.Unanswered();
-  const bool repeat =
-      std::find(unanswered.begin(), unanswered.end(), machine.machine) != unanswered.end();
-  if (!repeat && !plan->second.MayOrder()) return;
-  plan->second.Ordered(machine.machine);
-  machines_->Upkeep({options_.holder, token_}, machine.machine, wave,
-                    [this, wave, machine, tenure](MachineAnswer answer) {
-                      if (tenure == tenure_) Ordered(wave, machine, answer, tenure);
-                    });
+  return HasAuthority(tenure) && plan != plans_.end() && plan->second.BeginOrder(machine);
 }
 
 void MachineCoordinator::Ordered(std::uint64_t wave, const ListedMachine& machine,
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -17,6 +17,7 @@
 #include "cells/division.h"
 #include "cells/role_tenure.h"
 #include "core/boot_clock.h"
+#include "daemon/machine_orders.h"
 #include "daemon/pool_balancer.h"
 #include "platform/machine_client.h"
 #include "platform/store_client.h"
@@ -35,6 +36,8 @@
     std::chrono::milliseconds takeover_wait{6'000};
     /// How long the platform takes orders of one holder only (Bounds.LeaseMs).
     std::chrono::milliseconds machine_lease{3'000};
+    /// What the platform takes (CloudApi.DutyPerS).
+    double orders_per_second = 64;
     /// What is known of the former holder by now.
     std::function<RolePredecessor()> predecessor = [] { return RolePredecessor(); };
   };
@@ -62,6 +65,7 @@
   void AdvancePlan(WavePlan* plan, const MachineList& machines, std::uint64_t tenure);
   void Prepare(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
   void Order(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
+  bool BeginOrder(std::uint64_t wave, const std::string& machine, std::uint64_t tenure);
   void Ordered(std::uint64_t wave, const ListedMachine& machine, MachineAnswer answer,
                std::uint64_t tenure);
   void ReportGone(const MachineList& machines);
@@ -70,6 +74,7 @@
 
   BootClock clock_;
   MachineClient* machines_;
+  MachineOrders orders_;
   StoreClient* store_;
   CallRouter* router_;
   const Options options_;
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -172,7 +172,7 @@
     if (!may_order()) return;
     const Move& move = moves_.at(machine);
     if (move.ordered || move.before.runner.empty()) {
-      Order(machine, holder);
+      Order(machine, holder, may_order);
     } else {
       Prepare(machine, holder, may_order);
     }
@@ -187,19 +187,30 @@
                 [this, machine, holder, may_order](const CallAnswer& answer) {
                   const auto move = moves_.find(machine);
                   if (move == moves_.end() || move->second.ordered) return;
-                  if (answer.verdict == CallVerdict::kReady && may_order()) Order(machine, holder);
+                  if (answer.verdict == CallVerdict::kReady) Order(machine, holder, may_order);
                 });
 }
 
-void PoolBalancer::Order(const std::string& machine, const OrderHolder& holder) {
-  moves_.at(machine).ordered = true;
-  machines_->Move(holder, machine, moves_.at(machine).to,
-                  [this, machine](MachineAnswer answer) { Ordered(machine, answer); });
+void PoolBalancer::Order(const std::string& machine, const OrderHolder& holder,
+                         const std::function<bool()>& may_order) {
+  MachineOrder order;
+  order.kind = OrderKind::kMove;
+  order.holder = holder;
+  order.machine = machine;
+  order.pool = moves_.at(machine).to;
+  order.begin = [this, machine, may_order] {
+    const auto move = moves_.find(machine);
+    if (move == moves_.end() || move->second.confirmed || !may_order()) return false;
+    move->second.ordered = true;
+    return true;
+  };
+  order.done = [this, machine](MachineAnswer answer) { Ordered(machine, answer); };
+  orders_->Request(std::move(order));
 }
 
 void PoolBalancer::Ordered(const std::string& machine, MachineAnswer answer) {
   const auto found = moves_.find(machine);
-  if (found == moves_.end()) return;
+  if (found == moves_.end() || !found->second.ordered) return;
   Move& move = found->second;
   LogDecision("move_order", {{"machine", machine},
                              {"from", move.before.pool},
--- a/daemon/pool_balancer.h
+++ b/daemon/pool_balancer.h
@@ -13,6 +13,7 @@
 #include "cells/call_router.h"
 #include "cells/division.h"
 #include "core/boot_clock.h"
+#include "daemon/machine_orders.h"
 #include "platform/machine_client.h"
 #include "scheduling/pool_planner.h"
 
@@ -30,8 +31,8 @@
 
 class PoolBalancer {
  public:
-  PoolBalancer(MachineClient* machines, CallRouter* router, const Division* division)
-      : machines_(machines), router_(router), division_(division) {}
+  PoolBalancer(MachineOrders* orders, CallRouter* router, const Division* division)
+      : orders_(orders), router_(router), division_(division) {}
 
   void SetPools(std::vector<PoolConfig> pools) { pools_ = std::move(pools); }
 
@@ -70,11 +71,12 @@
   void Continue(const OrderHolder& holder, const std::function<bool()>& may_order);
   void Prepare(const std::string& machine, const OrderHolder& holder,
                const std::function<bool()>& may_order);
-  void Order(const std::string& machine, const OrderHolder& holder);
+  void Order(const std::string& machine, const OrderHolder& holder,
+             const std::function<bool()>& may_order);
   void Ordered(const std::string& machine, MachineAnswer answer);
 
   BootClock clock_;
-  MachineClient* machines_;
+  MachineOrders* orders_;
   CallRouter* router_;
   const Division* division_;
   std::vector<PoolConfig> pools_;
--- a/scheduling/upkeep_planner.cc
+++ b/scheduling/upkeep_planner.cc
@@ -93,6 +93,14 @@
   return chosen;
 }
 
+bool WavePlan::BeginOrder(const std::string& machine) {
+  const UpkeepPhase phase = phases_[machine];
+  if (phase == UpkeepPhase::kOrdered) return true;
+  if (phase != UpkeepPhase::kPreparing || !MayOrder()) return false;
+  Ordered(machine);
+  return true;
+}
+
 void WavePlan::FoundBusy(const std::string& machine, Instant now) {
   phases_[machine] = UpkeepPhase::kBusy;
   down_since_[machine] = now;
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -63,6 +63,9 @@
   /// Whether one more machine may be ordered down.
   bool MayOrder() const { return Away() < wave_.most_at_once; }
   void Ordered(const std::string& machine) { phases_[machine] = UpkeepPhase::kOrdered; }
+  /// Marks a machine that has been prepared as ordered, if one more may be taken down. Returns
+  /// whether to send the order, also when it repeats one without an answer.
+  bool BeginOrder(const std::string& machine);
   /// The order was refused and nothing was done.
   void Refused(const std::string& machine) { phases_[machine] = UpkeepPhase::kPreparing; }
   /// The machine was not up when the order came.
