daemon: rounds of the coordinator are not put off by answers, and do not overlap

Cause: each answer to an order set the timer of the round anew (20 ms). Change: RoundSchedule keeps the earliest time asked for and lets no round begin during another. Ruled out: a test on the time between lists over loopback (tried, reverted): under load the gaps of the answers are as long as the wait, and the former code passes. Evidence: round_schedule_test; machine_order_test and machine_coordinator_test pass.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -59,6 +59,7 @@
   plans_.clear();
   answered_.clear();
   balancer_.Reset();
+  rounds_.Reset();
   const std::uint64_t tenure = ++tenure_;
   LogDecision("coordinator_started", {{"token", Concat(token)}, {"waves", Concat(waves_.size())}});
   role_.Begin(clock_.Now());
@@ -115,13 +116,16 @@
 }
 
 void MachineCoordinator::RoundLater(std::uint64_t tenure) {
-  timer_.expires_after(answered_.empty() ? kRound : kSoon);
+  const std::chrono::milliseconds wait = answered_.empty() ? kRound : kSoon;
+  if (!rounds_.Plan(clock_.Now() + wait)) return;
+  timer_.expires_after(wait);
   timer_.async_wait([this, tenure](asio::error_code error) {
     if (!error && tenure == tenure_) Round(tenure);
   });
 }
 
 void MachineCoordinator::Round(std::uint64_t tenure) {
+  rounds_.Begin();
   for (const auto& [number, wave] : waves_) {
     if (plans_.contains(number) || completed_.contains(number)) continue;
     WavePlan& plan = plans_.emplace(number, WavePlan(wave, clock_.Now())).first->second;
@@ -133,22 +137,36 @@
                          {"begun_before", Concat(begun_before_[number].size())}});
     StoreStatus(number, false);
   }
-  if (!HasAuthority(tenure)) return RoundLater(tenure);
+  if (!HasAuthority(tenure)) {
+    rounds_.End();
+    return RoundLater(tenure);
+  }
   balancer_.AskLoads();  // Answered by the time that the list is.
-  machines_->List([this, tenure](absl::StatusOr<MachineList> machines) {
+  machines_->List([this, tenure,
+                   answered = std::exchange(answered_, {})](absl::StatusOr<MachineList> machines) {
     if (tenure != tenure_) return;
-    if (machines.ok() && !machines->empty() && HasAuthority(tenure)) {
-      TakeList(*machines, tenure);
-    } else if (!machines.ok()) {
-      LogWarning("machine_list_failed", {{"why", MessageOf(machines.status())}});
-    }
+    rounds_.End();
+    TakeAnsweredList(std::move(machines), answered, tenure);
     RoundLater(tenure);
   });
 }
 
+/// `answered` are machines whose orders were answered before the list was asked for.
+void MachineCoordinator::TakeAnsweredList(absl::StatusOr<MachineList> machines,
+                                          const AnsweredMachines& answered, std::uint64_t tenure) {
+  if (machines.ok() && !machines->empty() && HasAuthority(tenure)) {
+    ReportGone(answered, *machines);
+    return TakeList(*machines, tenure);
+  }
+  answered_.insert(answered.begin(), answered.end());
+  if (!machines.ok()) {
+    LogWarning("machine_list_failed", {{"why", MessageOf(machines.status())}});
+  }
+}
+
 /// Tells the owners of runners whose machines are down that these lives are over.
-void MachineCoordinator::ReportGone(const MachineList& machines) {
-  for (const auto& [name, before] : std::exchange(answered_, {})) {
+void MachineCoordinator::ReportGone(const AnsweredMachines& answered, const MachineList& machines) {
+  for (const auto& [name, before] : answered) {
     const auto listed = machines.find(name);
     if (before.runner.empty() || listed == machines.end() || listed->second.up) continue;
     if (auto call = CallOnRunner(*options_.division, CellVerb::kRunnerGone, before)) {
@@ -158,7 +176,6 @@
 }
 
 void MachineCoordinator::TakeList(const MachineList& machines, std::uint64_t tenure) {
-  ReportGone(machines);
   for (auto it = plans_.begin(); it != plans_.end();) {
     AdvancePlan(&it->second, machines, tenure);
     if (!it->second.complete()) {
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -21,6 +21,7 @@
 #include "daemon/pool_balancer.h"
 #include "platform/machine_client.h"
 #include "platform/store_client.h"
+#include "scheduling/round_schedule.h"
 #include "scheduling/upkeep_planner.h"
 
 namespace wigeonlane {
@@ -56,11 +57,16 @@
   void SetWaves(const std::vector<UpkeepWave>& waves);
 
  private:
+  /// Machines whose order was answered, as they were listed before it.
+  using AnsweredMachines = std::map<std::string, ListedMachine>;
+
   bool HasAuthority(std::uint64_t tenure) const;
   void AwaitPredecessor(std::uint64_t tenure);
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
   void RoundLater(std::uint64_t tenure);
+  void TakeAnsweredList(absl::StatusOr<MachineList> machines, const AnsweredMachines& answered,
+                        std::uint64_t tenure);
   void TakeList(const MachineList& machines, std::uint64_t tenure);
   void AdvancePlan(WavePlan* plan, const MachineList& machines, std::uint64_t tenure);
   void Prepare(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
@@ -68,7 +74,7 @@
   bool BeginOrder(std::uint64_t wave, const std::string& machine, std::uint64_t tenure);
   void Ordered(std::uint64_t wave, const ListedMachine& machine, MachineAnswer answer,
                std::uint64_t tenure);
-  void ReportGone(const MachineList& machines);
+  void ReportGone(const AnsweredMachines& answered, const MachineList& machines);
   void StoreBegun(const WavePlan& plan);
   void StoreStatus(std::uint64_t wave, bool completed);
 
@@ -80,6 +86,7 @@
   const Options options_;
   PoolBalancer balancer_;
   RoleTenure role_;
+  RoundSchedule rounds_;
   asio::steady_timer timer_;
   TenureToken token_ = 0;
   std::uint64_t tenure_ = 0;  ///< Counts starts and stops, so that late answers are told apart.
@@ -89,9 +96,9 @@
   std::map<std::uint64_t, std::set<std::string>> begun_before_;
   std::map<std::uint64_t, WavePlan> plans_;
   std::set<std::uint64_t> completed_;
-  /// Machines whose order was answered, as they were listed before it. The answer is the same when
-  /// the upkeep was over already, so the next list tells whether the runner is gone.
-  std::map<std::string, ListedMachine> answered_;
+  /// The answer is the same when the upkeep was over already, so the first list that is read after
+  /// it tells whether the runner is gone.
+  AnsweredMachines answered_;
 };
 
 }  // namespace wigeonlane
