upkeep: a refused repeat of an unanswered order leaves its machine counted as away

Cause: an order that had no answer was repeated, and when the repeat was refused (too many orders, or never sent) the machine went back to being prepared and made room for another, although the first order may still be carried out: more machines down than the wave's cap allows (LIMIT). Found while reading for the queue of orders, which refused repeats by the hundred. Evidence: upkeep_planner_test, Refused_FirstOrderWasNotAnswered_StillCountsAsAway, fails with the former rule and passes. Ruled out: counting every refused order as away, which would stop the wave.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -264,7 +264,7 @@
     case MachineAnswer::kRefused:
       return plan.Refused(machine.machine);
     case MachineAnswer::kUnknown:
-      return;  // Stays ordered and is repeated in the next round.
+      return plan.Unknown(machine.machine);  // Is repeated in the next round.
   }
 }
 
--- a/scheduling/upkeep_planner.cc
+++ b/scheduling/upkeep_planner.cc
@@ -101,12 +101,18 @@
   return true;
 }
 
+void WavePlan::Refused(const std::string& machine) {
+  if (!uncertain_.contains(machine)) phases_[machine] = UpkeepPhase::kPreparing;
+}
+
 void WavePlan::FoundBusy(const std::string& machine, Instant now) {
+  uncertain_.erase(machine);
   phases_[machine] = UpkeepPhase::kBusy;
   down_since_[machine] = now;
 }
 
 void WavePlan::Began(const std::string& machine, Instant now) {
+  uncertain_.erase(machine);
   phases_[machine] = UpkeepPhase::kDown;
   down_since_[machine] = now;
 }
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -66,8 +66,11 @@
   /// Marks a machine that has been prepared as ordered, if one more may be taken down. Returns
   /// whether to send the order, also when it repeats one without an answer.
   bool BeginOrder(const std::string& machine);
-  /// The order was refused and nothing was done.
-  void Refused(const std::string& machine) { phases_[machine] = UpkeepPhase::kPreparing; }
+  /// The order was refused and nothing was done. An earlier one without an answer may still be
+  /// carried out, so the machine counts as away until its outcome is known.
+  void Refused(const std::string& machine);
+  /// There was no answer: the order may be carried out, now or later.
+  void Unknown(const std::string& machine) { uncertain_.insert(machine); }
   /// The machine was not up when the order came.
   void FoundBusy(const std::string& machine, Instant now);
   void Began(const std::string& machine, Instant now);
@@ -94,6 +97,7 @@
   Instant deadline_;
   std::map<std::string, UpkeepPhase> phases_;
   std::map<std::string, Instant> down_since_;
+  std::set<std::string> uncertain_;  ///< An order to them was sent and not answered.
   bool listed_before_ = false;
 };
 
--- a/tests/scheduling/upkeep_planner_test.cc
+++ b/tests/scheduling/upkeep_planner_test.cc
@@ -49,6 +49,26 @@
   CHECK_FALSE(plan.complete());
 }
 
+// Guards against LIMIT: a repeat that was refused made room for another machine, though the first
+// order to this one had no answer and may still be carried out.
+TEST_CASE_METHOD(WavePlanTest, "Refused_FirstOrderWasNotAnswered_StillCountsAsAway") {
+  WavePlan plan(wave_, now_);
+  plan.Ordered("m1");
+  plan.Unknown("m1");
+  plan.Refused("m1");
+  plan.Ordered("m2");
+  CHECK_FALSE(plan.MayOrder());
+  CHECK(plan.BeginOrder("m1"));
+}
+
+TEST_CASE_METHOD(WavePlanTest, "Refused_OnlyOrder_MachineIsPreparedAgain") {
+  WavePlan plan(wave_, now_);
+  plan.Ordered("m1");
+  plan.Refused("m1");
+  plan.Ordered("m2");
+  CHECK(plan.MayOrder());
+}
+
 TEST_CASE_METHOD(WavePlanTest, "Plan_MachineListedUpTooSoon_StaysAway") {
   WavePlan plan(wave_, now_);
   plan.Began("m1", now_);
