net: a request waits in line for a connection for half of its time at most

The class of the stuck orders, in every client: with one limit for the line and the answer together, a line as long as the limit sends each request with no time left, the answer is given up on, its connection closed, and the line never gets shorter although the load is over. The same client carries calls to the store, the runners, the advisor and the machines. Change: what has spent half of its time in line fails there, as not sent; whoever is sent has at least the other half for its answer. OrderWindow looks for orders out of date only where it takes one. Ruled out: a limit on the length of the line; how long it takes depends on the server. Evidence: http_client_pause_test, HttpClient_LineTookMostOfTheTime_RequestIsNotSent, failed before (the second request was sent with 120 ms left of 400) and passes.

--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -28,6 +28,8 @@
 constexpr std::uint64_t kLargestBody = 16 * 1024 * 1024;
 /// Bounds how long unacknowledged bytes keep a connection alive when the peer has gone silent.
 constexpr std::chrono::milliseconds kUserTimeout{2'000};
+/// Part of a request's time that it may spend in line for a connection.
+constexpr int kLineShare = 2;
 constexpr std::string_view kTimedOutWaiting = "timed out waiting for a connection";
 
 std::string FormatRequest(const HttpRequest& request, const Endpoint& server) {
@@ -43,12 +45,16 @@
 
 /// One request on its way; `callback` is empty once the outcome has been told.
 struct AsyncHttpClient::Exchange {
-  Exchange(asio::io_context* io, Instant until, HttpCallback given)
-      : callback(std::move(given)), expires_at(until), timer(*io) {}
+  Exchange(asio::io_context* io, std::chrono::milliseconds timeout, HttpCallback given)
+      : callback(std::move(given)),
+        expires_at(BootClock().Now() + timeout),
+        leave_line_by(expires_at - timeout / kLineShare),
+        timer(*io) {}
 
   /// Answers are handled before timers, which also stand still while the instance is suspended, so
   /// the timer alone does not tell after a pause.
   bool overdue() const { return BootClock().Now() >= expires_at; }
+  bool waited_too_long() const { return BootClock().Now() >= leave_line_by; }
 
   void Finish(HttpExchange outcome) {
     timer.cancel();
@@ -70,6 +76,7 @@
   std::string bytes;
   HttpCallback callback;
   const Instant expires_at;
+  const Instant leave_line_by;
   asio::steady_timer timer;
   bool sent = false;
   /// The answer is here and is told next; the connection may carry another exchange by then.
@@ -221,9 +228,9 @@
 
 void AsyncHttpClient::Send(const HttpRequest& request, std::chrono::milliseconds timeout,
                            HttpCallback callback) {
-  auto exchange = std::make_shared<Exchange>(io_, BootClock().Now() + timeout, std::move(callback));
+  auto exchange = std::make_shared<Exchange>(io_, timeout, std::move(callback));
   exchange->bytes = FormatRequest(request, server_);
-  ExpireAfter(timeout, exchange);
+  ExpireAfter(timeout / kLineShare, exchange);
   waiting_.push_back(std::move(exchange));
   Dispatch();
 }
@@ -244,21 +251,21 @@
     }
     auto exchange = std::move(*next);
     waiting_.erase(next);
+    ExpireAfter(exchange->expires_at - BootClock().Now(), exchange);
     (*idle)->Carry(std::move(exchange));
   }
 }
 
 std::deque<std::shared_ptr<AsyncHttpClient::Exchange>>::iterator AsyncHttpClient::FirstInTime() {
   return std::find_if(waiting_.begin(), waiting_.end(), [this](const auto& exchange) {
-    if (!exchange->overdue()) return true;
+    if (!exchange->waited_too_long()) return true;
     // Its caller may be the one that sends now, so it is told later.
-    ExpireAfter(std::chrono::milliseconds(0), exchange);
+    ExpireAfter(Duration::zero(), exchange);
     return false;
   });
 }
 
-void AsyncHttpClient::ExpireAfter(std::chrono::milliseconds time,
-                                  const std::shared_ptr<Exchange>& exchange) {
+void AsyncHttpClient::ExpireAfter(Duration time, const std::shared_ptr<Exchange>& exchange) {
   exchange->timer.expires_after(time);
   exchange->timer.async_wait([exchange, this](asio::error_code error) {
     if (error || exchange->answered || exchange->callback == nullptr) return;
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "core/clock.h"
 #include "core/settings.h"
 #include "net/http_message.h"
 
@@ -26,9 +27,10 @@
   AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
 
   /// Sends `request` and calls back with the answer, or with an error when there is none within
-  /// `timeout`, which includes the wait for a connection. `HttpExchange::execution` is kNotRun
-  /// only when no byte of the request was written. None is written once `timeout` is over, also
-  /// when the process stood still meanwhile.
+  /// `timeout`. At most half of it is spent in line for a connection: requests that are sent with
+  /// little time left time out on their way and close their connections, and the line never gets
+  /// shorter. `HttpExchange::execution` is kNotRun only when no byte of the request was written.
+  /// None is written once `timeout` is over, also when the process stood still meanwhile.
   void Send(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallback callback);
 
   /// Whether a connection is open on which an answer has come before.
@@ -41,9 +43,9 @@
   class Connection;
 
   void Dispatch();
-  /// The next request to send; those before it are overdue and end soon.
+  /// The next request to send; those before it waited too long and end soon.
   std::deque<std::shared_ptr<Exchange>>::iterator FirstInTime();
-  void ExpireAfter(std::chrono::milliseconds time, const std::shared_ptr<Exchange>& exchange);
+  void ExpireAfter(Duration time, const std::shared_ptr<Exchange>& exchange);
   void Expire(const std::shared_ptr<Exchange>& exchange);
   void Drop(const Connection* connection);
 
--- a/scheduling/order_window.h
+++ b/scheduling/order_window.h
@@ -60,17 +60,21 @@
   /// The order to send now, whose machine has an open order from then on; nothing while there is no
   /// place.
   std::optional<Order> TakeNext(Instant now) {
-    DropOutdated(now);
     Refill(now);
-    if (open_.size() >= options_.most_open || allowance_ < 1 || waiting_.empty()) return {};
-    if (Line(next_kind_).empty()) next_kind_ = Other(next_kind_);
-    const auto next = waiting_.find(Line(next_kind_).begin()->second);
-    next_kind_ = Other(next_kind_);
-    Order order = std::move(next->second.order);
-    open_.insert(next->first);
-    allowance_ -= 1;
-    Drop(next);
-    return order;
+    while (open_.size() < options_.most_open && allowance_ >= 1 && !waiting_.empty()) {
+      if (Line(next_kind_).empty()) next_kind_ = Other(next_kind_);
+      const auto next = waiting_.find(Line(next_kind_).begin()->second);
+      const bool outdated = now - next->second.asked_at > options_.longest_wait;
+      std::string machine = next->first;
+      Order order = std::move(next->second.order);
+      Drop(next);
+      if (outdated) continue;
+      next_kind_ = Other(next_kind_);
+      open_.insert(std::move(machine));
+      allowance_ -= 1;
+      return order;
+    }
+    return {};
   }
 
   /// The order was answered, or its time is over.
@@ -115,15 +119,9 @@
     return lines_[static_cast<std::size_t>(kind)];
   }
 
-  typename WaitingMap::iterator Drop(typename WaitingMap::iterator waiting) {
+  void Drop(typename WaitingMap::iterator waiting) {
     Line(waiting->second.kind).erase(waiting->second.number);
-    return waiting_.erase(waiting);
-  }
-
-  void DropOutdated(Instant now) {
-    for (auto it = waiting_.begin(); it != waiting_.end();) {
-      it = now - it->second.asked_at > options_.longest_wait ? Drop(it) : std::next(it);
-    }
+    waiting_.erase(waiting);
   }
 
   void Refill(Instant now) {
--- a/tests/net/http_client_pause_test.cc
+++ b/tests/net/http_client_pause_test.cc
@@ -19,6 +19,8 @@
 /// Long enough to connect and write on a busy machine before the pause.
 constexpr milliseconds kTimeout{400};
 constexpr milliseconds kPause{500};
+/// With the turns before the answer, less than the timeout: the line itself takes the time.
+constexpr milliseconds kMostOfTimeout{180};
 /// The server's turns; loopback needs less than a millisecond.
 constexpr milliseconds kTurn{50};
 
@@ -95,6 +97,23 @@
   CHECK(first->execution == Execution::kNotRun);
 }
 
+// Guards against a line of requests that outlives the load: each is sent with too little time left
+// for its answer, times out and closes its connection.
+TEST_CASE_METHOD(HttpClientPauseTest, "HttpClient_LineTookMostOfTheTime_RequestIsNotSent") {
+  std::optional<HttpExchange> first;
+  std::optional<HttpExchange> second;
+  Send("1", &first);
+  Send("2", &second);
+  RunClient();
+  std::this_thread::sleep_for(kMostOfTimeout);
+  RunServer();
+  RunClient();
+  RunServer();
+  REQUIRE(second.has_value());
+  CHECK(second->execution == Execution::kNotRun);
+  CHECK(served_ == std::vector<std::string>{"1"});
+}
+
 // Guards against requests sent after the pause that are lost with those that expired.
 TEST_CASE_METHOD(HttpClientPauseTest, "HttpClient_PausedPastTheTimeout_NewRequestIsAnswered") {
   std::optional<HttpExchange> first;
