daemon: one record of what a wave has begun is on its way at a time

The class of the stuck orders once more: each answered order of a wave put a record with all machines of the wave into one partition, which takes one append at a time (AppendMs), over the connections that the records of cells need. Orders are answered faster than that (some hundred a second), so the records queued behind each other, and a line of more than 2 s at the partition refuses them all. Change: a record is sent once the last is over and holds what has begun by then; what was not stored is sent again in the next round, where before the next order of the wave carried it, if there was one. Evidence: machine_order_test, UpkeepRecord_ManyMachinesBegin_OneRecordIsOnItsWayAtATime: four at once before (as many as connections), one now, and the last has all machines.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -58,6 +58,7 @@
   active_ = true;
   plans_.clear();
   answered_.clear();
+  begun_unstored_.clear();
   balancer_.Reset();
   rounds_.Reset();
   const std::uint64_t tenure = ++tenure_;
@@ -126,6 +127,7 @@
 
 void MachineCoordinator::Round(std::uint64_t tenure) {
   rounds_.Begin();
+  StoreBegun();
   for (const auto& [number, wave] : waves_) {
     if (plans_.contains(number) || completed_.contains(number)) continue;
     WavePlan& plan = plans_.emplace(number, WavePlan(wave, clock_.Now())).first->second;
@@ -252,7 +254,8 @@
   switch (answer) {
     case MachineAnswer::kDone:
       plan.Began(machine.machine, clock_.Now());
-      StoreBegun(plan);
+      begun_unstored_[wave] = plan.Begun();
+      StoreBegun();
       answered_[machine.machine] = machine;
       return RoundLater(tenure);
     case MachineAnswer::kFenced:
@@ -268,9 +271,24 @@
   }
 }
 
-void MachineCoordinator::StoreBegun(const WavePlan& plan) {
-  store_->Put({std::string(kUpkeepTopic), 0}, {{Concat(plan.wave().number), Encode(plan.Begun())}},
-              [](AppendResult result) { LogIfLost("upkeep begun", result); });
+/// Stores what has begun, one write at a time: orders are answered faster than a partition takes
+/// appends, and each record holds all machines of its wave. Rounds repeat what was not stored.
+void MachineCoordinator::StoreBegun() {
+  if (storing_begun_ || begun_unstored_.empty()) return;
+  std::vector<StoreRecord> records;
+  for (const auto& [wave, machines] : begun_unstored_) {
+    records.push_back({Concat(wave), Encode(machines)});
+  }
+  storing_begun_ = true;
+  store_->Put(
+      {std::string(kUpkeepTopic), 0}, records,
+      [this, tenure = tenure_, sent = std::exchange(begun_unstored_, {})](AppendResult result) {
+        storing_begun_ = false;
+        LogIfLost("upkeep begun", result);
+        if (tenure != tenure_) return;
+        if (result == AppendResult::kStored) return StoreBegun();
+        begun_unstored_.insert(sent.begin(), sent.end());
+      });
 }
 
 void MachineCoordinator::StoreStatus(std::uint64_t wave, bool completed) {
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -75,7 +75,7 @@
   void Ordered(std::uint64_t wave, const ListedMachine& machine, MachineAnswer answer,
                std::uint64_t tenure);
   void ReportGone(const AnsweredMachines& answered, const MachineList& machines);
-  void StoreBegun(const WavePlan& plan);
+  void StoreBegun();
   void StoreStatus(std::uint64_t wave, bool completed);
 
   BootClock clock_;
@@ -96,6 +96,8 @@
   std::map<std::uint64_t, std::set<std::string>> begun_before_;
   std::map<std::uint64_t, WavePlan> plans_;
   std::set<std::uint64_t> completed_;
+  std::map<std::uint64_t, std::set<std::string>> begun_unstored_;  ///< By wave.
+  bool storing_begun_ = false;
   /// The answer is the same when the upkeep was over already, so the first list that is read after
   /// it tells whether the runner is gone.
   AnsweredMachines answered_;
--- a/tests/daemon/machine_order_test.cc
+++ b/tests/daemon/machine_order_test.cc
@@ -63,6 +63,12 @@
     if (request.target.starts_with("/log-newest")) {
       return reply({200, R"({"items":[],"HasMore":false,"EndOffset":0})", {}});
     }
+    if (request.target.starts_with("/log-append?Topic=keyed.upkeep")) {
+      last_record_ = request.body;
+      appends_.push_back(reply);
+      most_appends_ = std::max(most_appends_, appends_.size());
+      return;
+    }
     reply({200, R"({"Offset":0,"EndOffset":1})", {}});
   }
 
@@ -71,7 +77,6 @@
     const std::string machine = body.at("Machine");
     ++orders_[machine];
     open_.emplace_back(machine, reply);
-    most_open_ = std::max(most_open_, open_.size());
   }
 
   void ServeList(const HttpReply& reply) {
@@ -84,6 +89,9 @@
                       {"State", down_.contains(name) ? "upkeep" : "up"},
                       {"Capacity", {{"Cpu", 32'000}}}});
     }
+    for (const HttpReply& answer : std::exchange(appends_, {})) {
+      answer({200, R"({"Offset":0,"EndOffset":1})", {}});
+    }
     for (auto& [machine, answer] : std::exchange(open_, {})) {
       down_.insert(machine);
       answer({200, "{}", {}});
@@ -101,7 +109,9 @@
   const Endpoint at_ = FreeEndpoint();
   std::map<std::string, int> orders_;
   std::vector<std::pair<std::string, HttpReply>> open_;
-  std::size_t most_open_ = 0;
+  std::vector<HttpReply> appends_;
+  std::size_t most_appends_ = 0;
+  std::string last_record_;
   std::set<std::string> down_;
   int lists_ = 0;
   AsyncHttpServer server_{
@@ -127,5 +137,14 @@
   CHECK(once);
 }
 
+// Guards against a record for each machine of a wave: they queue at the partition, which takes one
+// at a time, and before the records of cells, which share the connections.
+TEST_CASE_METHOD(MachineOrderTest, "UpkeepRecord_ManyMachinesBegin_OneRecordIsOnItsWayAtATime") {
+  coordinator_.Start(kToken);
+  RunUntilAllAreDown();
+  CHECK(most_appends_ == 1);
+  for (int i = 0; i < kMachines; ++i) CHECK(last_record_.find(MachineName(i)) != std::string::npos);
+}
+
 }  // namespace
 }  // namespace wigeonlane
