daemon: questions to owners are not repeated while they are open

The class of the stuck orders at the third queue of the coordinator: each round (20 to 100 ms) asked the owner of every machine that is being prepared, and every cell for its loads, whether or not the last question was answered; an owner that is slow was asked more the slower it was, by hundreds of frames a round in a wave. Change: RunnerOwners holds the coordinator's three calls to owners, written twice until now, and keeps one question a runner and one a cell open. Not measured by itself.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -19,12 +19,6 @@
 constexpr std::chrono::milliseconds kRound{100};
 /// After an order, so that tasks of the machine start elsewhere at once.
 constexpr std::chrono::milliseconds kSoon{20};
-/// Bounds of one question to a cell's owner.
-constexpr std::chrono::milliseconds kHandover{0};
-constexpr std::chrono::milliseconds kAskTimeout{500};
-/// The owner must hear that a runner is gone, or it waits for the end of its lease.
-constexpr std::chrono::milliseconds kGoneHandover{1'000};
-
 OrderWindowOptions WindowOptions(const MachineCoordinator::Options& options) {
   OrderWindowOptions window;
   window.most_open = MachineClient::kMostOpenOrders;
@@ -47,9 +41,9 @@
     : machines_(machines),
       orders_(io, machines, WindowOptions(options)),
       store_(store),
-      router_(router),
       options_(std::move(options)),
-      balancer_(&orders_, router, options_.division),
+      owners_(router, options_.division),
+      balancer_(&orders_, &owners_, options_.division),
       role_({options_.takeover_wait, options_.machine_lease}),
       timer_(*io) {}
 
@@ -170,10 +164,8 @@
 void MachineCoordinator::ReportGone(const AnsweredMachines& answered, const MachineList& machines) {
   for (const auto& [name, before] : answered) {
     const auto listed = machines.find(name);
-    if (before.runner.empty() || listed == machines.end() || listed->second.up) continue;
-    if (auto call = CallOnRunner(*options_.division, CellVerb::kRunnerGone, before)) {
-      router_->Call(*std::move(call), kGoneHandover, kAskTimeout, [](const CallAnswer&) {});
-    }
+    if (listed == machines.end() || listed->second.up) continue;
+    owners_.TellGone(before);
   }
 }
 
@@ -210,12 +202,7 @@
 void MachineCoordinator::Prepare(std::uint64_t wave, const ListedMachine& machine,
                                  std::uint64_t tenure) {
   if (machine.runner.empty()) return Order(wave, machine, tenure);
-  auto call = CallOnRunner(*options_.division, CellVerb::kReserveRunner, machine);
-  if (!call) return;  // The rack is new; its owner is recorded soon.
-  router_->Call(*std::move(call), kHandover, kAskTimeout,
-                [this, wave, machine, tenure](const CallAnswer& answer) {
-                  if (answer.verdict == CallVerdict::kReady) Order(wave, machine, tenure);
-                });
+  owners_.Reserve(machine, [this, wave, machine, tenure] { Order(wave, machine, tenure); });
 }
 
 void MachineCoordinator::Order(std::uint64_t wave, const ListedMachine& machine,
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -19,6 +19,7 @@
 #include "core/boot_clock.h"
 #include "daemon/machine_orders.h"
 #include "daemon/pool_balancer.h"
+#include "daemon/runner_owners.h"
 #include "platform/machine_client.h"
 #include "platform/store_client.h"
 #include "scheduling/round_schedule.h"
@@ -82,8 +83,8 @@
   MachineClient* machines_;
   MachineOrders orders_;
   StoreClient* store_;
-  CallRouter* router_;
   const Options options_;
+  RunnerOwners owners_;
   PoolBalancer balancer_;
   RoleTenure role_;
   RoundSchedule rounds_;
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -9,8 +9,6 @@
 namespace wigeonlane {
 namespace {
 
-constexpr std::chrono::milliseconds kAskTimeout{400};
-constexpr std::chrono::milliseconds kGoneHandover{1'000};
 /// A load older than this says nothing of a pool that asks for five times its mean by turns.
 constexpr std::chrono::milliseconds kLoadAge{1'200};
 /// A machine whose tasks have not ended by then keeps its pool.
@@ -21,17 +19,6 @@
 
 }  // namespace
 
-std::optional<CellCall> CallOnRunner(const Division& division, CellVerb verb,
-                                     const ListedMachine& machine) {
-  const auto cell = division.CellOfRunner(machine.pool, machine.rack);
-  if (!cell) return {};
-  CellCall call;
-  call.verb = verb;
-  call.cell = *cell;
-  call.name = machine.runner;
-  return call;
-}
-
 void PoolBalancer::Reset() {
   moves_.clear();
   loads_.clear();
@@ -43,14 +30,9 @@
     for (const CellNumber cell : division_->CellsOf(pool.service)) asked.insert(cell);
   }
   for (const CellNumber cell : asked) {
-    CellCall call;
-    call.verb = CellVerb::kReportLoads;
-    call.cell = cell;
-    router_->Call(std::move(call), std::chrono::milliseconds(0), kAskTimeout,
-                  [this, cell](const CallAnswer& answer) {
-                    if (answer.verdict != CallVerdict::kLoads) return;
-                    loads_[cell] = {answer.loads, clock_.Now()};
-                  });
+    owners_->AskLoads(cell, [this, cell](const std::vector<ServiceLoad>& loads) {
+      loads_[cell] = {loads, clock_.Now()};
+    });
   }
 }
 
@@ -181,14 +163,10 @@
 
 void PoolBalancer::Prepare(const std::string& machine, const OrderHolder& holder,
                            const std::function<bool()>& may_order) {
-  auto call = CallOnRunner(*division_, CellVerb::kReserveRunner, moves_.at(machine).before);
-  if (!call) return;
-  router_->Call(*std::move(call), std::chrono::milliseconds(0), kAskTimeout,
-                [this, machine, holder, may_order](const CallAnswer& answer) {
-                  const auto move = moves_.find(machine);
-                  if (move == moves_.end() || move->second.ordered) return;
-                  if (answer.verdict == CallVerdict::kReady) Order(machine, holder, may_order);
-                });
+  owners_->Reserve(moves_.at(machine).before, [this, machine, holder, may_order] {
+    const auto move = moves_.find(machine);
+    if (move != moves_.end() && !move->second.ordered) Order(machine, holder, may_order);
+  });
 }
 
 void PoolBalancer::Order(const std::string& machine, const OrderHolder& holder,
@@ -222,10 +200,7 @@
     return;
   }
   move.confirmed = true;
-  if (move.before.runner.empty()) return;
-  auto call = CallOnRunner(*division_, CellVerb::kRunnerGone, move.before);
-  if (!call) return;
-  router_->Call(*std::move(call), kGoneHandover, kAskTimeout, [](const CallAnswer&) {});
+  owners_->TellGone(move.before);
 }
 
 }  // namespace wigeonlane
--- a/daemon/pool_balancer.h
+++ b/daemon/pool_balancer.h
@@ -10,10 +10,10 @@
 #include <string>
 #include <vector>
 
-#include "cells/call_router.h"
 #include "cells/division.h"
 #include "core/boot_clock.h"
 #include "daemon/machine_orders.h"
+#include "daemon/runner_owners.h"
 #include "platform/machine_client.h"
 #include "scheduling/pool_planner.h"
 
@@ -25,14 +25,10 @@
   bool spare = false;  ///< Its machines are off until they are moved.
 };
 
-/// A call to the owner of the runner on `machine`; nothing while that is not recorded.
-std::optional<CellCall> CallOnRunner(const Division& division, CellVerb verb,
-                                     const ListedMachine& machine);
-
 class PoolBalancer {
  public:
-  PoolBalancer(MachineOrders* orders, CallRouter* router, const Division* division)
-      : orders_(orders), router_(router), division_(division) {}
+  PoolBalancer(MachineOrders* orders, RunnerOwners* owners, const Division* division)
+      : orders_(orders), owners_(owners), division_(division) {}
 
   void SetPools(std::vector<PoolConfig> pools) { pools_ = std::move(pools); }
 
@@ -77,7 +73,7 @@
 
   BootClock clock_;
   MachineOrders* orders_;
-  CallRouter* router_;
+  RunnerOwners* owners_;
   const Division* division_;
   std::vector<PoolConfig> pools_;
   PoolPlanner planner_;
--- /dev/null
+++ b/daemon/runner_owners.h
@@ -0,0 +1,47 @@
+/// What the coordinator of machines says to the owners of their runners.
+#ifndef WIGEONLANE_DAEMON_RUNNER_OWNERS_H_
+#define WIGEONLANE_DAEMON_RUNNER_OWNERS_H_
+
+#include <functional>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cells/call_router.h"
+#include "cells/division.h"
+#include "scheduling/upkeep_planner.h"
+
+namespace wigeonlane {
+
+/// Rounds of the coordinator repeat their questions until a runner is free to go. One question a
+/// subject is open at a time, so that an owner that is slow is not asked more the slower it is.
+class RunnerOwners {
+ public:
+  RunnerOwners(CallRouter* router, const Division* division)
+      : router_(router), division_(division) {}
+
+  /// Asks for the runner on `machine` to be emptied. `ready` is called when it may be taken down;
+  /// otherwise nothing is, and the question is to be repeated.
+  void Reserve(const ListedMachine& machine, std::function<void()> ready);
+
+  /// Tells that the runner on `machine`, as it was listed before its order, is gone.
+  void TellGone(const ListedMachine& machine);
+
+  /// Asks the owner of `cell` for the loads of its services.
+  void AskLoads(CellNumber cell, std::function<void(const std::vector<ServiceLoad>&)> told);
+
+ private:
+  /// A call to the owner of the runner on `machine`; nothing while its cell is not recorded, as
+  /// with a new rack, or while the machine has no runner.
+  std::optional<CellCall> CallOn(const ListedMachine& machine, CellVerb verb) const;
+
+  CallRouter* router_;
+  const Division* division_;
+  std::set<std::string> asked_runners_;
+  std::set<CellNumber> asked_cells_;
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_DAEMON_RUNNER_OWNERS_H_
