pool planner: machines for work that fits nowhere

Cause: the planner counts cores. A pool whose cores are free by their sum needs nothing, whether memory is taken or the cores are free in parts too small for what waits, and it may even lend machines. Change: a part tells the runners that its owner knows and the further machines that stranded work needs. These are served before backlogs; a part that needs them is under pressure, so it lends and returns nothing. Machines that are up or on their way are compared with the runners known, so that none is asked for twice and one that is down hides no need. Headroom is left for short work only: what lasting tasks hold does not change with the load. Ruled out: a time to wait after each machine that was sent (a failed move would hold the next one up).

--- a/scheduling/pool_planner.cc
+++ b/scheduling/pool_planner.cc
@@ -6,12 +6,27 @@
 
 namespace wigeonlane {
 
+/// Machines to be sent for work that fits nowhere. Those on their way are not known to the owner
+/// yet, so they are told by the difference of what is present and what it knows.
+std::uint32_t PoolPlanner::MissingForStranded(const PoolView& pool) {
+  if (pool.further_machines == 0) return 0;
+  const std::uint32_t wanted = pool.runners + pool.further_machines;
+  return wanted > pool.present ? wanted - pool.present : 0;
+}
+
 std::uint32_t PoolPlanner::NeededMachines(const PoolView& pool) const {
-  if (pool.cores_each <= 0) return pool.machines;
+  const std::uint32_t for_stranded =
+      pool.further_machines == 0 ? 0 : pool.machines + MissingForStranded(pool);
+  if (pool.cores_each <= 0) return std::max(pool.machines, for_stranded);
   const double clear_seconds = std::chrono::duration<double>(options_.clear_time).count();
   const double cores =
       std::max(pool.busy_cores, pool.arriving_cores) + pool.backlog_work / clear_seconds;
-  return static_cast<std::uint32_t>(std::ceil(cores / pool.cores_each));
+  const auto needed = static_cast<std::uint32_t>(std::ceil(cores / pool.cores_each));
+  return std::max(needed, for_stranded);
+}
+
+double PoolPlanner::CoresWithHeadroom(const PoolView& pool) const {
+  return pool.lasting_cores + (pool.busy_cores - pool.lasting_cores) / (1 - options_.headroom);
 }
 
 Duration PoolPlanner::CalmFor(const PoolView& pool, Instant now) const {
@@ -22,7 +37,8 @@
 void PoolPlanner::NotePressure(const std::vector<PoolView>& pools, Instant now) {
   for (const PoolView& pool : pools) {
     const double all = pool.cores_each * pool.machines;
-    const bool pressed = pool.backlog_work > 0 || pool.busy_cores > all * (1 - options_.headroom);
+    const bool pressed =
+        pool.backlog_work > 0 || pool.further_machines > 0 || CoresWithHeadroom(pool) > all;
     if (pressed || !pool.reported) pressed_at_[KeyOf(pool)] = now;
     pressed_at_.try_emplace(KeyOf(pool), now);
     home_.try_emplace(KeyOf(pool), pool.machines);
@@ -52,20 +68,31 @@
   return moves;
 }
 
-void PoolPlanner::Lend(std::vector<PoolView>* pools, std::vector<MachineMove>* moves,
-                       Instant now) const {
-  // Spare machines need not be drained, and no pool misses them.
-  std::stable_partition(pools->begin(), pools->end(),
-                        [](const PoolView& pool) { return pool.spare; });
+/// What pools lack, in the order in which it is served. Work that fits nowhere may be a lasting
+/// task that is away, or would wait for good; a backlog only gets shorter sooner.
+std::vector<PoolPlanner::Need> PoolPlanner::Needs(std::vector<PoolView>* pools) const {
   std::vector<Need> needs;
   for (PoolView& pool : *pools) {
     if (pool.spare || !pool.reported) continue;
     const std::uint32_t needed = NeededMachines(pool);
-    if (needed > pool.machines) needs.push_back({&pool, needed - pool.machines});
+    if (needed <= pool.machines) continue;
+    const std::uint32_t missing = needed - pool.machines;
+    const std::uint32_t stranded = std::min(missing, MissingForStranded(pool));
+    if (stranded > 0) needs.push_back({&pool, true, stranded});
+    if (missing > stranded) needs.push_back({&pool, false, missing - stranded});
   }
-  std::sort(needs.begin(), needs.end(),
-            [](const Need& a, const Need& b) { return a.missing > b.missing; });
-  for (Need& need : needs) {
+  std::sort(needs.begin(), needs.end(), [](const Need& a, const Need& b) {
+    return a.stranded != b.stranded ? a.stranded : a.missing > b.missing;
+  });
+  return needs;
+}
+
+void PoolPlanner::Lend(std::vector<PoolView>* pools, std::vector<MachineMove>* moves,
+                       Instant now) const {
+  // Spare machines need not be drained, and no pool misses them.
+  std::stable_partition(pools->begin(), pools->end(),
+                        [](const PoolView& pool) { return pool.spare; });
+  for (Need& need : Needs(pools)) {
     for (PoolView& giver : *pools) {
       const bool lends = giver.spare || (giver.reported && giver.service != need.pool->service &&
                                          CalmFor(giver, now) >= options_.calm_before_lending);
@@ -87,8 +114,9 @@
   if (spare == pools->end()) return;
   for (PoolView& pool : *pools) {
     if (pool.spare || !pool.reported || CalmFor(pool, now) < options_.calm_before_return) continue;
-    const double kept = pool.busy_cores / (1 - options_.headroom);
-    const auto needed = static_cast<std::uint32_t>(std::ceil(kept / pool.cores_each));
+    if (pool.cores_each <= 0) continue;
+    const auto needed =
+        static_cast<std::uint32_t>(std::ceil(CoresWithHeadroom(pool) / pool.cores_each));
     const std::uint32_t least = std::max(needed, home_.at(KeyOf(pool)));
     while (pool.machines > least && moves->size() < most_moves_) {
       if (!TakeFrom(&pool, *spare, moves)) break;
--- a/scheduling/pool_planner.h
+++ b/scheduling/pool_planner.h
@@ -36,10 +36,17 @@
   bool reported = false;                            ///< Its owner has told its load.
   std::uint32_t machines = 0;                       ///< Up or on their way here.
   double cores_each = 0;
-  double busy_cores = 0;
+  double busy_cores = 0;      ///< By the resource that binds.
+  double lasting_cores = 0;   ///< Of these, by tasks that last.
   double arriving_cores = 0;  ///< What keeps up with the jobs that come in.
   double backlog_work = 0;    ///< In core-seconds, of tasks whose turn has come and that wait.
   std::vector<MovableMachine> movable = {};  ///< Idle ones first.
+  std::uint32_t runners = 0;                 ///< That its owner knows.
+  /// Beyond these, for work that waits and fits on none of them.
+  std::uint32_t further_machines = 0;
+  /// Machines that are up in the pool or on their way here. One that is down helps nobody now, and
+  /// one that leaves counts until its owner can know that it has left.
+  std::uint32_t present = 0;
 };
 
 struct MachineMove {
@@ -59,7 +66,8 @@
   std::chrono::milliseconds calm_before_return{1'200};
   /// Share of its first machines that a pool keeps when it lends, for the start of its own turn.
   double kept_share = 0.34;
-  /// Share of a pool's cores that stays free when machines are taken from it.
+  /// Share of a pool's cores that stays free when machines are taken from it. What lasting tasks
+  /// hold does not change with the load and needs no such reserve.
   double headroom = 0.3;
   /// Moves in one round, so that a wrong reading does not empty a pool: so many, or this share of
   /// all machines where that is more.
@@ -76,9 +84,13 @@
  private:
   struct Need {
     PoolView* pool = nullptr;
+    bool stranded = false;  ///< For work that fits nowhere; served first.
     std::uint32_t missing = 0;
   };
 
+  static std::uint32_t MissingForStranded(const PoolView& pool);
+  std::vector<Need> Needs(std::vector<PoolView>* pools) const;
+  double CoresWithHeadroom(const PoolView& pool) const;
   std::uint32_t NeededMachines(const PoolView& pool) const;
   Duration CalmFor(const PoolView& pool, Instant now) const;
   void NotePressure(const std::vector<PoolView>& pools, Instant now);
--- a/tests/scheduling/pool_planner_test.cc
+++ b/tests/scheduling/pool_planner_test.cc
@@ -35,6 +35,15 @@
     return pool;
   }
 
+  /// Most of its cores are free, and something that waits needs so many machines more.
+  static PoolView Stranded(std::uint32_t runners, std::uint32_t machines, std::uint32_t further) {
+    PoolView pool = Pool("press", machines, 30, 3);
+    pool.runners = runners;
+    pool.present = machines;
+    pool.further_machines = further;
+    return pool;
+  }
+
   static std::size_t Count(const std::vector<MachineMove>& moves, const std::string& from,
                            const std::string& to) {
     return static_cast<std::size_t>(
@@ -153,6 +162,74 @@
   CHECK(Count(moves, "fold", "press") == 5);
 }
 
+// Guards against work that waits for good beside free cores: it fits into none of their runners.
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_WorkFitsNowhere_BringsAMachineAlthoughCoresAreFree") {
+  const auto moves = planner_.Plan({Stranded(9, 9, 1), Spare(8)}, now_);
+  CHECK(Count(moves, "spare", "press") == 1);
+}
+
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_MachineForStrandedWorkIsOnItsWay_BringsNoOther") {
+  for (int round = 0; round < 30; ++round) {
+    CHECK(planner_.Plan({Stranded(9, 10, 1), Spare(8)}, now_).empty());
+    now_ += milliseconds(100);
+  }
+}
+
+// Guards against a machine that is down and hides the need of another.
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_WorkFitsNowhereAndAMachineIsDown_BringsAnother") {
+  PoolView pool = Stranded(8, 8, 1);
+  pool.machines = 9;
+  const auto moves = planner_.Plan({pool, Spare(8)}, now_);
+  CHECK(Count(moves, "spare", "press") == 1);
+}
+
+// Guards against a part that cannot ask since its last machine has left.
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_WorkFitsNowhereAndPoolIsEmpty_BringsMachines") {
+  PoolView pool = Stranded(0, 0, 2);
+  pool.cores_each = 0;
+  const auto moves = planner_.Plan({pool, Spare(8)}, now_);
+  CHECK(Count(moves, "spare", "press") == 2);
+}
+
+// Guards against a lasting task that stays away while the queue of another pool takes all machines.
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_OneSpareMachine_GoesToWorkThatFitsNowhere") {
+  const PoolView busy = Pool("fold", 9, 288, 4'000);
+  const auto moves = planner_.Plan({busy, Stranded(9, 9, 1), Spare(2)}, now_);
+  CHECK(Count(moves, "spare", "press") == 1);
+  CHECK(Count(moves, "spare", "fold") == 0);
+}
+
+// Guards against machines given away by the pool whose work finds no place.
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_WorkFitsNowhereInACalmPool_GivesNoneAway") {
+  PoolView stranded = Stranded(9, 9, 1);
+  stranded.backlog_work = 0;
+  const PoolView busy = Pool("fold", 9, 280, 900);
+  planner_.Plan({Pool("press", 9, 30, 0), Pool("fold", 9, 30, 0), Spare(0)}, now_);
+  now_ += seconds(5);
+  CHECK(Count(planner_.Plan({stranded, busy, Spare(0)}, now_), "press", "fold") == 0);
+}
+
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_StrandedWorkIsDone_MachineLeavesAfterTheCalmTime") {
+  planner_.Plan({Pool("press", 9, 30, 0), Spare(8)}, now_);
+  now_ += seconds(5);
+  CHECK(planner_.Plan({Stranded(10, 10, 1), Spare(0)}, now_).empty());
+  now_ += seconds(1);
+  CHECK(planner_.Plan({Pool("press", 10, 30, 0), Spare(0)}, now_).empty());
+  now_ += seconds(1);
+  const auto moves = planner_.Plan({Pool("press", 10, 30, 0), Spare(0)}, now_);
+  CHECK(Count(moves, "press", "spare") == 1);
+}
+
+// Guards against machines kept as a reserve for lasting tasks, whose share of memory is large.
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_LastingTasksHoldThreeQuarters_GivesBackWhatCame") {
+  PoolView pool = Pool("press", 9, 220, 0);
+  pool.lasting_cores = 216;
+  planner_.Plan({pool, Spare(8)}, now_);
+  pool.machines = 12;
+  now_ += seconds(5);
+  CHECK(Count(planner_.Plan({pool, Spare(0)}, now_), "press", "spare") == 3);
+}
+
 TEST_CASE("ArrivalMeter_JobsLeaveTheWindow_TheirWorkGoesWithThem") {
   Instant now{std::chrono::hours(1)};
   ArrivalMeter meter;
