cell load: need by the binding resource and work that fits nowhere

Cause: loads held cores only. Memory and accelerators were not told, nor that what waits fits into no runner; lasting tasks, whose estimates are nothing, counted as no work at all. Change: what is in use and what waits are told by the resource that binds (BindingCpuMilli). Work that waits and fits on no runner is told as further machines: one at least for short work once its job has started nothing for 0.5 s, as many as hold all of them for lasting tasks and gangs, for lasting tasks at once where no end of short tasks helps. Free cores are then told as busy. Runners just found count as room, so that a machine is not asked for twice. Left out: labels and advice, as a further machine may lack them too; and what fits on no machine of the service. Ruled out: handing jobs to other cells; the division by digest stays.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -147,6 +147,8 @@
     bool accepted = false;                ///< The store holds the job.
     bool inherited = false;               ///< A predecessor may have started its tasks.
     Instant accepted_at{};
+    /// Tasks are ready and none has started since; nothing while none is ready.
+    std::optional<Instant> nothing_started_since;
     BatchNumber accept_batch = 0;  ///< The batch that carries it.
     Instant ended_at{};
     std::vector<CallNumber> accept_calls;
@@ -184,6 +186,14 @@
   bool HeldBack(const JobEntry& entry) const {
     return entry.inherited && unsettled_.HoldsBack(entry.job.policy().service);
   }
+
+  /// Work of one service that waits and fits on no runner as things stand.
+  struct StrandedWork {
+    bool any = false;
+    /// That hold what needs places for all its tasks at once: lasting steps and gangs.
+    double machines = 0;
+  };
+
   JobEntry* FindJob(const JobId& id);
   void Answer(CallNumber call, CallAnswer answer);
   BatchNumber MarkDirty(JobEntry* entry);
@@ -245,6 +255,14 @@
   std::uint32_t RunsOfStep(const Runner& runner, const TaskId& task) const;
   bool MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id, Instant now) const;
   void KeepRoom(const JobEntry& entry, const TaskId& id, Instant now);
+
+  std::map<std::string, Resources> LargestCapacities() const;
+  static bool OffersRoom(const Runner& runner, const TaskId& task, Instant now);
+  std::uint32_t StrandedTasks(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step,
+                              FullShapes* full, Instant now) const;
+  void AddStranded(const JobEntry& entry, const Resources& capacity, FullShapes* full,
+                   StrandedWork* stranded, Instant now) const;
+  void TellFreeCoresAsBusy(const std::string& service, ServiceLoad* load, Instant now) const;
   void Start(JobEntry* entry, const TaskId& id, Runner* runner, RunNumber run, CellTime time);
   RunNumber NextRun(const JobEntry& entry, RunNumber last) const;
 
--- a/cells/cell_load.cc
+++ b/cells/cell_load.cc
@@ -1,9 +1,11 @@
 /// Load of a cell's services, as the coordinator of machines asks for it.
 #include <algorithm>
+#include <cmath>
 #include <map>
 #include <utility>
 
 #include "cells/cell.h"
+#include "scheduling/binding_load.h"
 
 namespace wigeonlane {
 namespace {
@@ -12,43 +14,164 @@
 /// What is late earns a fourteenth (site files), but must be served; machines for it wait until
 /// the others have theirs.
 constexpr double kLateShare = 0.25;
+/// A job that starts nothing for this long waits for more than the next end of a short task. A
+/// lasting task may be away for 9 s; a machine is at work about 3 s after it was asked for (a move
+/// takes 1.5 s, discovery of its runner 0.8 s).
+constexpr std::chrono::milliseconds kStrandedAfter{500};
 
 /// Estimated work of the tasks of a job that wait and whose turn has come.
-std::int64_t WaitingCoreMillis(const Job& job, double estimate_ratio) {
+std::int64_t WaitingCoreMillis(const Job& job, const Resources& capacity, double estimate_ratio) {
   std::int64_t total = 0;
   for (std::uint32_t number = 0; number < job.occurrences().size(); ++number) {
     const auto& steps = job.occurrences()[number].steps;
     for (std::uint32_t step = 0; step < steps.size(); ++step) {
       const StepSpec& spec = job.spec().steps[step];
       if (steps[step].waiting == 0 || !job.StepReady(number, step)) continue;
-      total += steps[step].waiting * spec.Load().cpu_milli * spec.estimate.count() / kMilliPerCore;
+      total += steps[step].waiting * BindingCpuMilli(capacity, spec.Load()) *
+               spec.estimate.count() / kMilliPerCore;
     }
   }
   return static_cast<std::int64_t>(static_cast<double>(total) * estimate_ratio);
 }
 
+std::uint32_t DueTasks(const StepProgress& progress, Instant now) {
+  return static_cast<std::uint32_t>(
+      std::count_if(progress.tasks.begin(), progress.tasks.end(), [&](const TaskState& task) {
+        return task.phase == TaskPhase::kWaiting && now >= task.not_before;
+      }));
+}
+
+Resources UsedByLasting(const Runner& runner) {
+  if (runner.lasting_runs == 0) return {};
+  Resources used = runner.listing.capacity;
+  used -= runner.FreeOfShortTasks();
+  return used;
+}
+
+/// Tasks of the step that one runner with so much free may hold.
+std::uint32_t PlacesOfStep(const Resources& free, const StepSpec& step, std::uint32_t runs_there) {
+  const std::uint32_t places = PlacesIn(free, step.Load());
+  if (step.most_per_runner == 0) return places;
+  return runs_there >= step.most_per_runner ? 0
+                                            : std::min(places, step.most_per_runner - runs_there);
+}
+
 }  // namespace
 
+/// Largest capacity of a listed runner by service; a machine that comes is taken to be as large.
+std::map<std::string, Resources> Cell::LargestCapacities() const {
+  std::map<std::string, Resources> largest;
+  for (const auto& [key, runner] : runners_) {
+    if (!runner.listed) continue;
+    Resources& capacity = largest[runner.listing.service];
+    if (runner.listing.capacity.cpu_milli > capacity.cpu_milli) capacity = runner.listing.capacity;
+  }
+  return largest;
+}
+
+/// Whether room on the runner can be counted on for a step, which `task` belongs to. One that was
+/// found a moment ago counts, or another would be asked for until it has answered.
+bool Cell::OffersRoom(const Runner& runner, const TaskId& task, Instant now) {
+  const bool kept =
+      runner.kept_for && now < runner.kept_until &&
+      !(runner.kept_for->job == task.job && runner.kept_for->occurrence == task.occurrence &&
+        runner.kept_for->step == task.step);
+  return runner.listed && !runner.listing.draining && now >= runner.reserved_until &&
+         runner.looks_failed == 0 && runner.health.Admits(now) && !kept;
+}
+
+/// Tasks of a step that fit nowhere as things stand. Labels and advice are left out: a further
+/// machine may lack them as well, and would be asked for without end.
+std::uint32_t Cell::StrandedTasks(const JobEntry& entry, std::uint32_t occurrence,
+                                  std::uint32_t step, FullShapes* full, Instant now) const {
+  const StepProgress& progress = entry.job.occurrences()[occurrence].steps[step];
+  const StepSpec& spec = entry.job.spec().steps[step];
+  const std::uint32_t due = DueTasks(progress, now);
+  if (due == 0 || !entry.job.StepReady(occurrence, step)) return 0;
+  if (spec.gang && due < spec.count) return 0;  // Members of an earlier run must end first.
+  const std::string& service = entry.job.policy().service;
+  const bool room_is_due = now >= *entry.nothing_started_since + kStrandedAfter;
+  if (!room_is_due && !spec.long_running) return 0;
+  if (!spec.gang && room_is_due && full->Covers(service, {}, spec.Load())) return due;
+  const TaskId task{entry.job.id(), occurrence, step, 0};
+  std::uint64_t places = 0;
+  bool any_room = false;
+  for (const auto& [key, runner] : runners_) {
+    if (runner.listing.service != service || !OffersRoom(runner, task, now)) continue;
+    any_room = any_room || runner.Free().Holds(spec.Load());
+    const std::uint32_t runs = spec.most_per_runner > 0 ? RunsOfStep(runner, task) : 0;
+    places += PlacesOfStep(runner.Free(), spec, runs);
+    if (places >= (spec.gang ? spec.count : 1)) return 0;
+    // Short tasks end soon, and what they free is kept for it.
+    if (!room_is_due && PlacesOfStep(runner.FreeOfShortTasks(), spec, runs) > 0) return 0;
+  }
+  if (!any_room && room_is_due) full->Note(service, {}, spec.Load());
+  return due - static_cast<std::uint32_t>(places);
+}
+
+/// Adds what a job has that fits nowhere.
+void Cell::AddStranded(const JobEntry& entry, const Resources& capacity, FullShapes* full,
+                       StrandedWork* stranded, Instant now) const {
+  const Job& job = entry.job;
+  for (std::uint32_t number = 0; number < job.occurrences().size(); ++number) {
+    if (!entry.nothing_started_since || job.occurrences()[number].early) continue;
+    const auto steps = static_cast<std::uint32_t>(job.occurrences()[number].steps.size());
+    for (std::uint32_t step = 0; step < steps; ++step) {
+      const StepSpec& spec = job.spec().steps[step];
+      const std::uint32_t places = PlacesOfStep(capacity, spec, 0);
+      if (places == 0) continue;  // Fits on no machine of the service.
+      const std::uint32_t tasks = StrandedTasks(entry, number, step, full, now);
+      if (tasks == 0) continue;
+      stranded->any = true;
+      if (spec.long_running || spec.gang) stranded->machines += static_cast<double>(tasks) / places;
+    }
+  }
+}
+
+/// Free cores that nothing that waits can use are none to whoever asks.
+void Cell::TellFreeCoresAsBusy(const std::string& service, ServiceLoad* load, Instant now) const {
+  for (const auto& [key, runner] : runners_) {
+    if (!runner.listed || runner.listing.service != service || !runner.AcceptsStarts(now)) continue;
+    const Resources& capacity = runner.listing.capacity;
+    load->busy_cpu_milli +=
+        std::max<std::int64_t>(capacity.cpu_milli - BindingCpuMilli(capacity, runner.used), 0);
+  }
+}
+
 CallAnswer Cell::ReportLoads(CellTime time) const {
   std::map<std::string, ServiceLoad> loads;
   for (const auto& [key, runner] : runners_) {
     if (!runner.listed) continue;
     ServiceLoad& load = loads[runner.listing.service];
-    load.busy_cpu_milli += runner.used.cpu_milli;
+    ++load.runners;
+    load.busy_cpu_milli += BindingCpuMilli(runner.listing.capacity, runner.used);
+    load.lasting_cpu_milli += BindingCpuMilli(runner.listing.capacity, UsedByLasting(runner));
     if (!runner.AcceptsStarts(time.now)) continue;
     load.capacity_cpu_milli += runner.listing.capacity.cpu_milli;
     if (runner.lasting_runs > 0) continue;
     load.movable.push_back({runner.listing.id, static_cast<std::uint32_t>(runner.runs.size())});
   }
+  const std::map<std::string, Resources> capacities = LargestCapacities();
+  std::map<std::string, StrandedWork> stranded;
+  FullShapes full;
   for (const JobId& id : open_) {
     const JobEntry& entry = *jobs_.at(id);
     if (!entry.accepted || IsFinal(entry.job.state())) continue;
+    const std::string& service = entry.job.policy().service;
+    const auto listed = capacities.find(service);
+    const Resources capacity = listed == capacities.end() ? Resources{} : listed->second;
     const double ratio = estimates_.Ratio(entry.job.policy().name);
     const bool late = entry.accepted_at + Objective(entry.job, ratio) <
                       time.now + RemainingChain(entry.job, ratio);
-    const auto waiting = static_cast<double>(WaitingCoreMillis(entry.job, ratio));
-    loads[entry.job.policy().service].backlog_work +=
-        static_cast<std::int64_t>(late ? waiting * kLateShare : waiting);
+    const auto waiting = static_cast<double>(WaitingCoreMillis(entry.job, capacity, ratio));
+    loads[service].backlog_work += static_cast<std::int64_t>(late ? waiting * kLateShare : waiting);
+    AddStranded(entry, capacity, &full, &stranded[service], time.now);
+  }
+  for (const auto& [service, work] : stranded) {
+    if (!work.any) continue;
+    loads[service].further_machines =
+        std::max<std::uint32_t>(1, static_cast<std::uint32_t>(std::ceil(work.machines)));
+    TellFreeCoresAsBusy(service, &loads[service], time.now);
   }
   for (const auto& [service, meter] : arrivals_) {
     loads[service].arriving_cpu_milli =
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -47,10 +47,13 @@
 }
 
 void Cell::RankJobAgain(const JobId& id, Instant now) {
-  const JobEntry* entry = FindJob(id);
+  JobEntry* entry = FindJob(id);
   const bool waits = entry != nullptr && entry->accepted && !IsFinal(entry->job.state()) &&
                      !HeldBack(*entry) && entry->job.ReadyTasks() > 0;
-  if (!waits) return waiting_.Remove(id);
+  if (!waits) {
+    if (entry != nullptr) entry->nothing_started_since.reset();
+    return waiting_.Remove(id);
+  }
   const Job& job = entry->job;
   const double ratio = estimates_.Ratio(job.policy().name);
   JobDemand demand;
@@ -81,7 +84,12 @@
   for (const auto& [rank, id] : waiting_.in_order()) {
     JobEntry* entry = FindJob(id);
     PlaceJob(entry, time);
-    if (entry->job.ReadyTasks() == 0) placed.push_back(id);
+    if (entry->job.ReadyTasks() == 0) {
+      placed.push_back(id);
+      entry->nothing_started_since.reset();
+    } else if (!entry->nothing_started_since) {
+      entry->nothing_started_since = time.now;
+    }
   }
   for (const JobId& id : placed) waiting_.Remove(id);
   opened_.clear();
@@ -302,6 +310,7 @@
   }
   runner->GrantLease(order.deadline, options_);
   runner->next_look = std::min(runner->next_look, time.now + options_.look_gap);
+  entry->nothing_started_since = time.now;
   ++counters_.starts;
   LogDecision("start", {{"job", std::string(id.job.text())},
                         {"task", id.ToString()},
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -139,15 +139,21 @@
 /// How much one service of a cell has to do.
 struct ServiceLoad {
   std::string service;
-  std::int64_t busy_cpu_milli = 0;      ///< In use on its runners.
+  /// In use on its runners, by the resource that binds; all, while work waits that fits nowhere.
+  std::int64_t busy_cpu_milli = 0;
+  std::int64_t lasting_cpu_milli = 0;   ///< Of that, by tasks that last.
   std::int64_t capacity_cpu_milli = 0;  ///< Of its runners that take work.
   std::int64_t arriving_cpu_milli = 0;  ///< What keeps up with the jobs that come in.
   std::int64_t backlog_work = 0;  ///< In thousandths of a core-second, of tasks that wait for room.
   std::vector<MovableRunner> movable;  ///< Least busy first.
+  std::uint32_t runners = 0;           ///< That discovery names.
+  /// Beyond these, for work that waits and fits on none of them as things stand.
+  std::uint32_t further_machines = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(service, busy_cpu_milli, capacity_cpu_milli, arriving_cpu_milli, backlog_work, movable);
+    archive(service, busy_cpu_milli, capacity_cpu_milli, arriving_cpu_milli, backlog_work, movable,
+            runners, further_machines, lasting_cpu_milli);
   }
 };
 
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -95,8 +95,11 @@
     if (const auto load = LoadOf(pool.service, cell)) {
       part.reported = true;
       part.busy_cores = static_cast<double>(load->busy_cpu_milli) / kMilliPerUnit;
+      part.lasting_cores = static_cast<double>(load->lasting_cpu_milli) / kMilliPerUnit;
       part.arriving_cores = static_cast<double>(load->arriving_cpu_milli) / kMilliPerUnit;
       part.backlog_work = static_cast<double>(load->backlog_work) / kMilliPerUnit;
+      part.runners = load->runners;
+      part.further_machines = load->further_machines;
     }
     parts.push_back(std::move(part));
     if (pool.spare) break;
@@ -128,7 +131,10 @@
         view_of(move == moves_.end() ? machine.pool : move->second.to, machine.rack);
     if (counted != nullptr) ++counted->machines;
     PoolView* view = view_of(machine.pool, machine.rack);
+    if (counted != nullptr && counted != view) ++counted->present;
     if (view == nullptr) continue;
+    const bool arriving = move != moves_.end() && counted == view;
+    if (machine.up || arriving) ++view->present;
     cores[view] += machine.cores;
     ++listed[view];
     if (!machine.up || move != moves_.end() || reserved.contains(name)) continue;
