placement: accelerators count among what is scarce

Cause: the cost of a place and the share that must still come free looked at cores and memory only, so room for a lasting task with accelerators was kept on whichever runner lacked least of the other two, and tasks with accelerators gathered on one runner. Change: both use BindingShare. Tasks without accelerators are not kept from runners whose accelerators are taken. Evidence: 2 new cases of policy_test fail before; all 45 of scheduling_test pass.

--- a/scheduling/placement.h
+++ b/scheduling/placement.h
@@ -6,9 +6,8 @@
 #ifndef WIGEONLANE_SCHEDULING_PLACEMENT_H_
 #define WIGEONLANE_SCHEDULING_PLACEMENT_H_
 
-#include <algorithm>
-
 #include "jobs/job.h"
+#include "scheduling/binding_load.h"
 
 namespace wigeonlane {
 
@@ -38,14 +37,12 @@
 inline constexpr double kBlockedCost = 1.5;
 
 inline double PlacementCost(const PlacementView& view, const Resources& load) {
-  const auto share = [](std::int64_t used, std::int64_t all) {
-    return all <= 0 ? 0.0 : static_cast<double>(used) / static_cast<double>(all);
-  };
-  const double cpu = share(view.capacity.cpu_milli - view.free.cpu_milli + load.cpu_milli,
-                           view.capacity.cpu_milli);
-  const double memory = share(view.capacity.memory_mb - view.free.memory_mb + load.memory_mb,
-                              view.capacity.memory_mb);
-  double cost = std::max(cpu, memory);
+  Resources used = view.capacity;
+  used -= view.free;
+  used += load;
+  // Who needs none does not keep away from runners whose accelerators are taken.
+  if (load.gpus == 0) used.gpus = 0;
+  double cost = BindingShare(view.capacity, used);
   if (view.far_from_data) cost += kRemoteCost;
   if (view.off_rack) cost += kRemoteCost;
   if (view.blocks_upkeep) cost += kBlockedCost;
@@ -53,14 +50,12 @@
   return cost;
 }
 
-/// The share of a runner's capacity that must still come free for `load`, by the scarcer resource.
+/// The share of a runner's capacity that must still come free for `load`, by the scarcest resource.
 inline double MissingShare(const Resources& capacity, const Resources& free,
                            const Resources& load) {
-  const auto share = [](std::int64_t missing, std::int64_t all) {
-    return missing <= 0 || all <= 0 ? 0.0 : static_cast<double>(missing) / static_cast<double>(all);
-  };
-  return std::max(share(load.cpu_milli - free.cpu_milli, capacity.cpu_milli),
-                  share(load.memory_mb - free.memory_mb, capacity.memory_mb));
+  Resources missing = load;
+  missing -= free;
+  return BindingShare(capacity, missing);
 }
 
 }  // namespace wigeonlane
--- a/tests/scheduling/policy_test.cc
+++ b/tests/scheduling/policy_test.cc
@@ -96,6 +96,22 @@
   CHECK(PlacementCost(empty, load) < PlacementCost(near, load));
 }
 
+// Guards against room kept where more accelerators must come free than elsewhere.
+TEST_CASE_METHOD(SchedulingTest, "MissingShare_AcceleratorsAreTaken_IsTheirShare") {
+  const Resources capacity{32'000, 64'000, 4};
+  const Resources load{4'000, 4'000, 2};
+  CHECK(MissingShare(capacity, {32'000, 64'000, 0}, load) == Approx(0.5));
+  CHECK(MissingShare(capacity, {0, 64'000, 4}, load) == Approx(0.125));
+}
+
+// Guards against tasks with accelerators that gather on one runner.
+TEST_CASE_METHOD(SchedulingTest, "Placement_MoreAcceleratorsFree_CostsLessToWhoNeedsThem") {
+  PlacementView taken{{32'000, 64'000, 4}, {32'000, 64'000, 1}};
+  PlacementView free{{32'000, 64'000, 4}, {28'000, 60'000, 4}};
+  CHECK(PlacementCost(free, {1'000, 1'000, 1}) < PlacementCost(taken, {1'000, 1'000, 1}));
+  CHECK(PlacementCost(taken, {1'000, 1'000, 0}) < PlacementCost(free, {1'000, 1'000, 0}));
+}
+
 TEST_CASE_METHOD(SchedulingTest, "Placement_StepMayNotMissMore_GoesElsewhere") {
   PlacementView host{{32'000, 64'000, 0}, {8'000, 32'000, 0}};
   PlacementView empty{{32'000, 64'000, 0}, {32'000, 64'000, 0}};
