cell load: arriving work by the binding resource

Cause: the rate of work that is handed in was told in cores alone, a backlog by the resource that binds. Change: NoteArrival counts RemainingBoundSeconds. The order of jobs still goes by remaining core-seconds.

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -200,7 +200,8 @@
 void Cell::NoteArrival(const Job& job, Instant now) {
   if (job.spec().timed() || job.spec().steps.front().long_running) return;
   const double ratio = estimates_.Ratio(job.policy().name);
-  arrivals_[job.policy().service].Note(RemainingCoreSeconds(job, ratio), now);
+  const std::string& service = job.policy().service;
+  arrivals_[service].Note(RemainingBoundSeconds(job, ratio, LargestCapacities()[service]), now);
 }
 
 void Cell::ApplyEffect(const Effect& effect, CellTime time) {
--- a/scheduling/job_order.cc
+++ b/scheduling/job_order.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "scheduling/binding_load.h"
+
 namespace wigeonlane {
 namespace {
 
@@ -57,13 +59,18 @@
 }
 
 double RemainingCoreSeconds(const Job& job, double estimate_ratio) {
+  return RemainingBoundSeconds(job, estimate_ratio, {});
+}
+
+double RemainingBoundSeconds(const Job& job, double estimate_ratio, const Resources& capacity) {
   double total = 0;
   for (const Occurrence& occurrence : job.occurrences()) {
     for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
       const StepSpec& spec = job.spec().steps[step];
       const auto open = spec.count - occurrence.steps[step].done;
-      total += static_cast<double>(open) * static_cast<double>(spec.need.cpu_milli) /
-               kMilliPerUnit * static_cast<double>(spec.estimate.count()) / kMilliPerUnit;
+      total += static_cast<double>(open) *
+               static_cast<double>(BindingCpuMilli(capacity, spec.need)) / kMilliPerUnit *
+               static_cast<double>(spec.estimate.count()) / kMilliPerUnit;
     }
   }
   return total * estimate_ratio;
--- a/scheduling/job_order.h
+++ b/scheduling/job_order.h
@@ -45,6 +45,9 @@
 /// Estimated work that is left, in core-seconds.
 double RemainingCoreSeconds(const Job& job, double estimate_ratio);
 
+/// The same by the resource that binds on a runner of that capacity.
+double RemainingBoundSeconds(const Job& job, double estimate_ratio, const Resources& capacity);
+
 /// The time in which the job earns in full, from its acceptance.
 std::chrono::milliseconds Objective(const Job& job, double estimate_ratio);
 
--- a/tests/cells/cell_stranded_work_test.cc
+++ b/tests/cells/cell_stranded_work_test.cc
@@ -238,6 +238,18 @@
   CHECK(Load().backlog_work == 16 * 800);
 }
 
+// Guards against machines that are asked for too late as work arrives that memory binds.
+TEST_CASE_METHOD(CellStrandedWorkTest, "ReportLoads_MemoryOfArrivingWorkBinds_RateIsItsShare") {
+  BeginWith(2);
+  Submit(Short(1, {1'000, 32'000, 0}));
+  Pass(milliseconds(100));
+  const std::int64_t of_memory = Load().arriving_cpu_milli;
+  BeginWith(2);
+  Submit(Short(1, {16'000, 1'000, 0}), {}, "00000000000000b1");
+  Pass(milliseconds(100));
+  CHECK(of_memory == Load().arriving_cpu_milli);
+}
+
 /// The cell with the planner of machines: a move takes 1.5 s and discovery 0.8 s more.
 class StrandedWorkMachinesTest : protected CellStrandedWorkTest {
  protected:
