pool planner: machines that were sent and have not helped hide no need

Callers would see: a task away for as long as runners of machines that are up cannot be found by its owner. Cause: such a machine looks like one on its way. Change: where enough machines were sent and work still fits nowhere after 4 s, one more is sent, and the time begins anew. Bounded at one machine in 4 s a part, and by 0.5 + 4 + 3 s within the 9 s that a lasting task may be away.

--- a/scheduling/pool_planner.h
+++ b/scheduling/pool_planner.h
@@ -69,6 +69,10 @@
   /// Share of a pool's cores that stays free when machines are taken from it. What lasting tasks
   /// hold does not change with the load and needs no such reserve.
   double headroom = 0.3;
+  /// A machine that was sent is at work by then: 1.5 s to empty it, 1.5 s for the move, and 0.8 s
+  /// for discovery of its runner (site files). A lasting task that waits for it may be away for 9
+  /// s.
+  std::chrono::milliseconds arrival{4'000};
   /// Moves in one round, so that a wrong reading does not empty a pool: so many, or this share of
   /// all machines where that is more.
   std::uint32_t most_moves = 12;
@@ -88,14 +92,15 @@
     std::uint32_t missing = 0;
   };
 
-  static std::uint32_t MissingForStranded(const PoolView& pool);
-  std::vector<Need> Needs(std::vector<PoolView>* pools) const;
+  static std::uint32_t NotYetSent(const PoolView& pool);
+  std::uint32_t MissingForStranded(const PoolView& pool, Instant now) const;
+  std::vector<Need> Needs(std::vector<PoolView>* pools, Instant now) const;
   double CoresWithHeadroom(const PoolView& pool) const;
-  std::uint32_t NeededMachines(const PoolView& pool) const;
+  std::uint32_t NeededMachines(const PoolView& pool, Instant now) const;
   Duration CalmFor(const PoolView& pool, Instant now) const;
   void NotePressure(const std::vector<PoolView>& pools, Instant now);
   static bool TakeFrom(PoolView* giver, const PoolView& to, std::vector<MachineMove>* moves);
-  void Lend(std::vector<PoolView>* pools, std::vector<MachineMove>* moves, Instant now) const;
+  void Lend(std::vector<PoolView>* pools, std::vector<MachineMove>* moves, Instant now);
   void Return(std::vector<PoolView>* pools, std::vector<MachineMove>* moves, Instant now) const;
 
   const PoolPlannerOptions options_;
@@ -106,6 +111,8 @@
 
   std::map<PartKey, std::uint32_t> home_;  ///< Machines that a part had at first.
   std::map<PartKey, Instant> pressed_at_;  ///< When a part last needed all it had.
+  /// Since when work has fitted nowhere though enough machines were sent; only for such parts.
+  std::map<PartKey, Instant> sent_since_;
 };
 
 }  // namespace wigeonlane
--- a/tests/scheduling/pool_planner_test.cc
+++ b/tests/scheduling/pool_planner_test.cc
@@ -183,6 +183,28 @@
   CHECK(Count(moves, "spare", "press") == 1);
 }
 
+// Guards against machines that are up while their runners cannot be found: they hide the need of
+// others for as long as that lasts.
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_MachinesAreUpAndTheirRunnersUnknown_BringsOneIn4s") {
+  const PoolView pool = Stranded(7, 9, 1);
+  std::size_t came = 0;
+  for (int round = 0; round < 70; ++round) {
+    came += planner_.Plan({pool, Spare(8)}, now_).size();
+    if (round == 30) CHECK(came == 0);
+    now_ += milliseconds(100);
+  }
+  CHECK(came == 1);
+}
+
+// Guards against the same with a machine that has come in vain: the time begins anew with each.
+TEST_CASE_METHOD(PoolPlannerTest, "Plan_MachineCameForStrandedWorkLately_WaitsForItFirst") {
+  planner_.Plan({Stranded(9, 10, 1), Spare(8)}, now_);
+  now_ += seconds(3);
+  REQUIRE(planner_.Plan({Stranded(9, 9, 1), Spare(8)}, now_).size() == 1);
+  now_ += seconds(3);
+  CHECK(planner_.Plan({Stranded(9, 10, 1), Spare(8)}, now_).empty());
+}
+
 // Guards against a part that cannot ask since its last machine has left.
 TEST_CASE_METHOD(PoolPlannerTest, "Plan_WorkFitsNowhereAndPoolIsEmpty_BringsMachines") {
   PoolView pool = Stranded(0, 0, 2);
