cell load: a runner on which room is kept is not movable

Cause: only runners with lasting tasks were left out of the machines that may be moved. Evidence: ReportLoads_RoomIsKeptOnARunner_ItIsNotMovable failed before, all 19 of cell_stranded_work_test pass; cell_test, cell_takeover_test, cell_fuzz_test pass.

--- a/cells/cell_load.cc
+++ b/cells/cell_load.cc
@@ -148,7 +148,7 @@
     load.lasting_cpu_milli += BindingCpuMilli(runner.listing.capacity, UsedByLasting(runner));
     if (!runner.AcceptsStarts(time.now)) continue;
     load.capacity_cpu_milli += runner.listing.capacity.cpu_milli;
-    if (runner.lasting_runs > 0) continue;
+    if (runner.lasting_runs > 0 || (runner.kept_for && time.now < runner.kept_until)) continue;
     load.movable.push_back({runner.listing.id, static_cast<std::uint32_t>(runner.runs.size())});
   }
   const std::map<std::string, Resources> capacities = LargestCapacities();
--- a/tests/cells/cell_stranded_work_test.cc
+++ b/tests/cells/cell_stranded_work_test.cc
@@ -151,6 +151,19 @@
   CHECK(Load().further_machines == 0);
 }
 
+// Guards against a machine moved away while what comes free on it is kept for a lasting task.
+TEST_CASE_METHOD(CellStrandedWorkTest, "ReportLoads_RoomIsKeptOnARunner_ItIsNotMovable") {
+  BeginWith(2);
+  Submit(Short(8, {8'000, 1'000, 0}), {}, "00000000000000b1");
+  Pass(milliseconds(100));
+  REQUIRE(starts_.size() == 8);
+  CHECK(Load().movable.size() == 2);
+  Submit(Lasting(1, {4'000, 20'000, 0}));
+  Pass(milliseconds(100));
+  REQUIRE(starts_.size() == 8);
+  CHECK(Load().movable.size() == 1);
+}
+
 // Guards against a gang that waits for places that single tasks would have.
 TEST_CASE_METHOD(CellStrandedWorkTest, "ReportLoads_GangLacksPlaces_WantsMachinesForIt") {
   BeginWith(2);
