cells: a released machine counts as away until a look would have told

Cause: a release lapsed 2 s after the owner had given it. The machine may go down up to 2.3 s after it (answer, line, order), and when the order's answer is lost nobody says so: the owner finds out when a look times out, up to 2.1 s after the runner's last report. In between it counted the task as at work and released another runner of the step. A successor waited 2 s as well. Change: a release holds until a look at the runner would have timed out; nothing is started on the runner while the order may come. A successor waits as long. Ruled out: a hand-over of the cell.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -228,6 +228,7 @@
   void StopJob(JobEntry* entry, Instant now);
   bool MayEnd(const Runner& runner, const TaskId& id, Ending ending, Instant now);
   void Evacuate(Runner* runner, Instant now);
+  Instant ReleaseEnd(Instant now) const;
 
   void Schedule(CellTime time);
   void RankStale(Instant now);
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -10,6 +10,9 @@
 
 /// A reservation that is not renewed lapses: whoever asked for it is gone.
 constexpr std::chrono::milliseconds kReservation{2'000};
+/// From a release to the moment at which the machine goes down at the latest: 0.5 s for the answer
+/// to the coordinator, 0.3 s in line (OrderWindow) and 1.5 s until an order is given up.
+constexpr std::chrono::milliseconds kOrderReach{2'300};
 
 }  // namespace
 
@@ -28,10 +31,17 @@
     Evacuate(runner, time.now);
     return {CallVerdict::kNotReady};
   }
-  runner->released_until = time.now + kReservation;
+  runner->reserved_until = time.now + kOrderReach;
+  runner->released_until = ReleaseEnd(time.now);
   return {CallVerdict::kReady};
 }
 
+/// When a machine that was released at `now` is known to be up or down: if nobody says that it went
+/// down, a look at its runner has to time out.
+Instant Cell::ReleaseEnd(Instant now) const {
+  return now + kOrderReach + options_.look_gap + options_.look_wait + options_.order_timeout;
+}
+
 void Cell::RunnerGone(const std::string& runner_id, CellTime time) {
   const auto key = key_by_id_.find(runner_id);
   if (key != key_by_id_.end()) LoseRunner(key->second, "its machine was taken down", time);
@@ -59,7 +69,7 @@
   const StepSpec& spec = entry->job.spec().steps[id.step];
   if (!spec.long_running) return false;
   // What a predecessor released, or was stopping, may go down at any time and is not known here.
-  if (entry->inherited && now < restored_at_ + kReservation) return false;
+  if (entry->inherited && now < ReleaseEnd(restored_at_)) return false;
   const auto& tasks = entry->job.occurrences()[id.occurrence].steps[id.step].tasks;
   std::uint32_t away = 0;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
--- a/tests/cells/cell_reservation_test.cc
+++ b/tests/cells/cell_reservation_test.cc
@@ -45,9 +45,9 @@
   REQUIRE(Release(0));
   Take();  // The successor does not know that a machine may go down at any time.
   CHECK_FALSE(Release(1));
-  Pass(milliseconds(1'500));
+  Pass(milliseconds(4'300));
   CHECK_FALSE(Release(1));
-  Pass(milliseconds(500));
+  Pass(milliseconds(200));
   CHECK(Release(1));
 }
 
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -26,6 +27,7 @@
 
   /// An owner takes the cell over from what is stored, with so many equal runners listed.
   void Begin(std::size_t runners, const Resources& capacity) {
+    open_looks_.clear();
     cell_ = std::make_unique<Cell>(0, ++token_, CellOptions());
     std::vector<StoreRecord> records;
     for (const auto& [key, value] : stored_) records.push_back({key, value});
@@ -62,6 +64,7 @@
     for (std::chrono::milliseconds passed{0}; passed < duration; passed += kStep) {
       now_ += kStep;
       cell_->ExtendAuthority(now_ + CellOptions().authority);
+      EndOverdueLooks();
       cell_->Advance(Time());
       TakeOutbox(cell_->TakeOutbox());
     }
@@ -128,6 +131,7 @@
   std::map<std::string, std::string> label_of_;    ///< By runner id, where it has one.
   std::set<std::string> draining_;                 ///< Runners that are listed as draining.
   std::set<std::string> silent_;                   ///< Runners that answer no look.
+  std::set<std::string> down_;                     ///< Runners whose looks end by their timeout.
   std::map<std::string, std::string> stored_;
   std::map<std::string, std::vector<ListedRun>> running_;  ///< By runner id.
   std::map<std::string, std::vector<ListedEnd>> ended_;    ///< Not told to be forgotten, likewise.
@@ -148,6 +152,14 @@
     for (const AdviseOrder& question : outbox.questions) questions_.push_back(question);
   }
 
+  void EndOverdueLooks() {
+    while (!open_looks_.empty() && open_looks_.front().first <= now_) {
+      const LookOrder look = open_looks_.front().second;
+      open_looks_.pop_front();
+      cell_->Looked(look, OrderAnswer::kUnanswered, {}, Time());
+    }
+  }
+
   void Store(const AppendOrder& append) {
     if (!store_answers_) return;
     for (const StoreRecord& record : append.records) {
@@ -164,6 +176,10 @@
     looks_.push_back(look);
     const std::string id = IdOf(look.runner);
     if (silent_.contains(id)) return cell_->Looked(look, OrderAnswer::kUnanswered, {}, Time());
+    if (down_.contains(id)) {
+      open_looks_.emplace_back(now_ + look.wait + CellOptions().order_timeout, look);
+      return;
+    }
     std::erase_if(ended_[id],
                   [&](const ListedEnd& end) { return end.number <= look.forget_up_to; });
     RunnerReport report;
@@ -173,6 +189,8 @@
     report.ended = ended_[id];
     cell_->Looked(look, OrderAnswer::kDone, report, Time());
   }
+
+  std::deque<std::pair<Instant, LookOrder>> open_looks_;  ///< With the time of their end.
 };
 
 }  // namespace wigeonlane
