--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -25,6 +25,13 @@
 /// The owner must hear that a runner is gone, or it waits for the end of its lease.
 constexpr std::chrono::milliseconds kGoneHandover{1'000};
 
+OrderWindowOptions WindowOptions(const MachineCoordinator::Options& options) {
+  OrderWindowOptions window;
+  window.most_open = MachineClient::kMostOpenOrders;
+  window.per_second = options.orders_per_second;
+  return window;
+}
+
 std::string WaveKey(std::uint64_t wave) { return Concat("wave/", wave); }
 
 void LogIfLost(std::string_view what, AppendResult result) {
@@ -38,10 +45,11 @@
 MachineCoordinator::MachineCoordinator(asio::io_context* io, MachineClient* machines,
                                        StoreClient* store, CallRouter* router, Options options)
     : machines_(machines),
+      orders_(io, machines, WindowOptions(options)),
       store_(store),
       router_(router),
       options_(std::move(options)),
-      balancer_(machines, router, options_.division),
+      balancer_(&orders_, router, options_.division),
       role_({options_.takeover_wait, options_.machine_lease}),
       timer_(*io) {}
 
@@ -51,6 +59,7 @@
   plans_.clear();
   answered_.clear();
   balancer_.Reset();
+  rounds_.Reset();
   const std::uint64_t tenure = ++tenure_;
   LogDecision("coordinator_started", {{"token", Concat(token)}, {"waves", Concat(waves_.size())}});
   role_.Begin(clock_.Now());
@@ -70,6 +79,7 @@
   ++tenure_;
   active_ = false;
   timer_.cancel();
+  orders_.DropWaiting();
   role_.NotePredecessor(options_.predecessor());
   const Instant now = clock_.Now();
   return role_.PauseOfSuccessor(machines_->LastOrder(now), now);
@@ -106,13 +116,16 @@
 }
 
 void MachineCoordinator::RoundLater(std::uint64_t tenure) {
-  timer_.expires_after(answered_.empty() ? kRound : kSoon);
+  const std::chrono::milliseconds wait = answered_.empty() ? kRound : kSoon;
+  if (!rounds_.Plan(clock_.Now() + wait)) return;
+  timer_.expires_after(wait);
   timer_.async_wait([this, tenure](asio::error_code error) {
     if (!error && tenure == tenure_) Round(tenure);
   });
 }
 
 void MachineCoordinator::Round(std::uint64_t tenure) {
+  rounds_.Begin();
   for (const auto& [number, wave] : waves_) {
     if (plans_.contains(number) || completed_.contains(number)) continue;
     WavePlan& plan = plans_.emplace(number, WavePlan(wave, clock_.Now())).first->second;
@@ -124,22 +137,36 @@
                          {"begun_before", Concat(begun_before_[number].size())}});
     StoreStatus(number, false);
   }
-  if (!HasAuthority(tenure)) return RoundLater(tenure);
+  if (!HasAuthority(tenure)) {
+    rounds_.End();
+    return RoundLater(tenure);
+  }
   balancer_.AskLoads();  // Answered by the time that the list is.
-  machines_->List([this, tenure](absl::StatusOr<MachineList> machines) {
+  machines_->List([this, tenure,
+                   answered = std::exchange(answered_, {})](absl::StatusOr<MachineList> machines) {
     if (tenure != tenure_) return;
-    if (machines.ok() && !machines->empty() && HasAuthority(tenure)) {
-      TakeList(*machines, tenure);
-    } else if (!machines.ok()) {
-      LogWarning("machine_list_failed", {{"why", MessageOf(machines.status())}});
-    }
+    rounds_.End();
+    TakeAnsweredList(std::move(machines), answered, tenure);
     RoundLater(tenure);
   });
 }
 
+/// `answered` are machines whose orders were answered before the list was asked for.
+void MachineCoordinator::TakeAnsweredList(absl::StatusOr<MachineList> machines,
+                                          const AnsweredMachines& answered, std::uint64_t tenure) {
+  if (machines.ok() && !machines->empty() && HasAuthority(tenure)) {
+    ReportGone(answered, *machines);
+    return TakeList(*machines, tenure);
+  }
+  answered_.insert(answered.begin(), answered.end());
+  if (!machines.ok()) {
+    LogWarning("machine_list_failed", {{"why", MessageOf(machines.status())}});
+  }
+}
+
 /// Tells the owners of runners whose machines are down that these lives are over.
-void MachineCoordinator::ReportGone(const MachineList& machines) {
-  for (const auto& [name, before] : std::exchange(answered_, {})) {
+void MachineCoordinator::ReportGone(const AnsweredMachines& answered, const MachineList& machines) {
+  for (const auto& [name, before] : answered) {
     const auto listed = machines.find(name);
     if (before.runner.empty() || listed == machines.end() || listed->second.up) continue;
     if (auto call = CallOnRunner(*options_.division, CellVerb::kRunnerGone, before)) {
@@ -149,7 +176,6 @@
 }
 
 void MachineCoordinator::TakeList(const MachineList& machines, std::uint64_t tenure) {
-  ReportGone(machines);
   for (auto it = plans_.begin(); it != plans_.end();) {
     AdvancePlan(&it->second, machines, tenure);
     if (!it->second.complete()) {
@@ -192,17 +218,25 @@
 
 void MachineCoordinator::Order(std::uint64_t wave, const ListedMachine& machine,
                                std::uint64_t tenure) {
+  MachineOrder order;
+  order.kind = OrderKind::kUpkeep;
+  order.holder = {options_.holder, token_};
+  order.machine = machine.machine;
+  order.wave = wave;
+  order.begin = [this, wave, name = machine.machine, tenure] {
+    return BeginOrder(wave, name, tenure);
+  };
+  order.done = [this, wave, machine, tenure](MachineAnswer answer) {
+    if (tenure == tenure_) Ordered(wave, machine, answer, tenure);
+  };
+  orders_.Request(std::move(order));
+}
+
+/// Whether the machine may be taken down now; it counts as away from then on.
+bool MachineCoordinator::BeginOrder(std::uint64_t wave, const std::string& machine,
+                                    std::uint64_t tenure) {
   const auto plan = plans_.find(wave);
-  if (!HasAuthority(tenure) || plan == plans_.end()) return;
-  const auto unanswered = plan->second.Unanswered();
-  const bool repeat =
-      std::find(unanswered.begin(), unanswered.end(), machine.machine) != unanswered.end();
-  if (!repeat && !plan->second.MayOrder()) return;
-  plan->second.Ordered(machine.machine);
-  machines_->Upkeep({options_.holder, token_}, machine.machine, wave,
-                    [this, wave, machine, tenure](MachineAnswer answer) {
-                      if (tenure == tenure_) Ordered(wave, machine, answer, tenure);
-                    });
+  return HasAuthority(tenure) && plan != plans_.end() && plan->second.BeginOrder(machine);
 }
 
 void MachineCoordinator::Ordered(std::uint64_t wave, const ListedMachine& machine,
@@ -230,7 +264,7 @@
     case MachineAnswer::kRefused:
       return plan.Refused(machine.machine);
     case MachineAnswer::kUnknown:
-      return;  // Stays ordered and is repeated in the next round.
+      return plan.Unknown(machine.machine);  // Is repeated in the next round.
   }
 }
 
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -17,9 +17,11 @@
 #include "cells/division.h"
 #include "cells/role_tenure.h"
 #include "core/boot_clock.h"
+#include "daemon/machine_orders.h"
 #include "daemon/pool_balancer.h"
 #include "platform/machine_client.h"
 #include "platform/store_client.h"
+#include "scheduling/round_schedule.h"
 #include "scheduling/upkeep_planner.h"
 
 namespace wigeonlane {
@@ -35,6 +37,8 @@
     std::chrono::milliseconds takeover_wait{6'000};
     /// How long the platform takes orders of one holder only (Bounds.LeaseMs).
     std::chrono::milliseconds machine_lease{3'000};
+    /// What the platform takes (CloudApi.DutyPerS).
+    double orders_per_second = 64;
     /// What is known of the former holder by now.
     std::function<RolePredecessor()> predecessor = [] { return RolePredecessor(); };
   };
@@ -53,28 +57,36 @@
   void SetWaves(const std::vector<UpkeepWave>& waves);
 
  private:
+  /// Machines whose order was answered, as they were listed before it.
+  using AnsweredMachines = std::map<std::string, ListedMachine>;
+
   bool HasAuthority(std::uint64_t tenure) const;
   void AwaitPredecessor(std::uint64_t tenure);
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
   void RoundLater(std::uint64_t tenure);
+  void TakeAnsweredList(absl::StatusOr<MachineList> machines, const AnsweredMachines& answered,
+                        std::uint64_t tenure);
   void TakeList(const MachineList& machines, std::uint64_t tenure);
   void AdvancePlan(WavePlan* plan, const MachineList& machines, std::uint64_t tenure);
   void Prepare(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
   void Order(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
+  bool BeginOrder(std::uint64_t wave, const std::string& machine, std::uint64_t tenure);
   void Ordered(std::uint64_t wave, const ListedMachine& machine, MachineAnswer answer,
                std::uint64_t tenure);
-  void ReportGone(const MachineList& machines);
+  void ReportGone(const AnsweredMachines& answered, const MachineList& machines);
   void StoreBegun(const WavePlan& plan);
   void StoreStatus(std::uint64_t wave, bool completed);
 
   BootClock clock_;
   MachineClient* machines_;
+  MachineOrders orders_;
   StoreClient* store_;
   CallRouter* router_;
   const Options options_;
   PoolBalancer balancer_;
   RoleTenure role_;
+  RoundSchedule rounds_;
   asio::steady_timer timer_;
   TenureToken token_ = 0;
   std::uint64_t tenure_ = 0;  ///< Counts starts and stops, so that late answers are told apart.
@@ -84,9 +96,9 @@
   std::map<std::uint64_t, std::set<std::string>> begun_before_;
   std::map<std::uint64_t, WavePlan> plans_;
   std::set<std::uint64_t> completed_;
-  /// Machines whose order was answered, as they were listed before it. The answer is the same when
-  /// the upkeep was over already, so the next list tells whether the runner is gone.
-  std::map<std::string, ListedMachine> answered_;
+  /// The answer is the same when the upkeep was over already, so the first list that is read after
+  /// it tells whether the runner is gone.
+  AnsweredMachines answered_;
 };
 
 }  // namespace wigeonlane
--- a/scheduling/upkeep_planner.cc
+++ b/scheduling/upkeep_planner.cc
@@ -93,12 +93,26 @@
   return chosen;
 }
 
+bool WavePlan::BeginOrder(const std::string& machine) {
+  const UpkeepPhase phase = phases_[machine];
+  if (phase == UpkeepPhase::kOrdered) return true;
+  if (phase != UpkeepPhase::kPreparing || !MayOrder()) return false;
+  Ordered(machine);
+  return true;
+}
+
+void WavePlan::Refused(const std::string& machine) {
+  if (!uncertain_.contains(machine)) phases_[machine] = UpkeepPhase::kPreparing;
+}
+
 void WavePlan::FoundBusy(const std::string& machine, Instant now) {
+  uncertain_.erase(machine);
   phases_[machine] = UpkeepPhase::kBusy;
   down_since_[machine] = now;
 }
 
 void WavePlan::Began(const std::string& machine, Instant now) {
+  uncertain_.erase(machine);
   phases_[machine] = UpkeepPhase::kDown;
   down_since_[machine] = now;
 }
