daemon: an order without an answer is repeated only when the owner releases the runner again

Cause: upkeep and moves that were not answered were sent again in each round without asking the owner of the runner. Its release lasts for the first order only; after that the owner starts tasks on the runner again and lets others of the step go, and a repeat that is the first to arrive ends one too many. Change: each order, also a repeat, follows a release. A repeat that may not be sent waits; its machine goes on counting as away. Evidence: order_repeat_test failed before, with upkeep and with a move (2 orders for 1), and passes.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -198,7 +198,8 @@
   plan->TakeMachines(machines, clock_.Now());
   for (const std::string& machine : plan->Unanswered()) {
     const auto listed = machines.find(machine);
-    if (listed != machines.end()) Order(plan->wave().number, listed->second, tenure);
+    // The release that the first order relied on may have lapsed.
+    if (listed != machines.end()) Prepare(plan->wave().number, listed->second, tenure);
   }
   for (const std::string& machine : plan->ToPrepare(machines, clock_.Now())) {
     Prepare(plan->wave().number, machines.at(machine), tenure);
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -171,9 +171,10 @@
   for (const std::string& machine : open) {
     if (!may_order()) return;
     const Move& move = moves_.at(machine);
-    if (move.ordered || move.before.runner.empty()) {
+    if (move.before.runner.empty()) {
       Order(machine, holder, may_order);
     } else {
+      // Also before an order is repeated: the release that the first relied on may have lapsed.
       Prepare(machine, holder, may_order);
     }
   }
@@ -186,7 +187,7 @@
   router_->Call(*std::move(call), std::chrono::milliseconds(0), kAskTimeout,
                 [this, machine, holder, may_order](const CallAnswer& answer) {
                   const auto move = moves_.find(machine);
-                  if (move == moves_.end() || move->second.ordered) return;
+                  if (move == moves_.end() || move->second.confirmed) return;
                   if (answer.verdict == CallVerdict::kReady) Order(machine, holder, may_order);
                 });
 }
--- /dev/null
+++ b/tests/daemon/order_repeat_test.cc
@@ -0,0 +1,180 @@
+/// Orders to machines that were not answered, from the coordinator to a platform over loopback.
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+#include "daemon/machine_coordinator.h"
+#include "net/async_http_server.h"
+
+namespace wigeonlane {
+namespace {
+
+using asio::ip::tcp;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TenureToken kToken = 8;
+constexpr int kWave = 1;
+constexpr int kMachines = 3;
+constexpr std::string_view kIdlePool = "quotes";
+constexpr std::string_view kPressedPool = "orders";
+constexpr CellNumber kIdleCell = 0;
+constexpr CellNumber kPressedCell = 1;
+/// Rounds in which the first order is sent; a pool lends when it has been calm for 0.5 s.
+constexpr int kRoundsToOrder = 20;
+/// Rounds in which an order is repeated, and fewer than pass until that is given up.
+constexpr int kRoundsToRepeat = 8;
+
+/// A platform that answers no order, and owners of which one is pressed and the other idle.
+class OrderRepeatTest {
+ protected:
+  OrderRepeatTest() {
+    REQUIRE(server_.Listen(at_).ok());
+    division_.services[std::string(kIdlePool)].cells = {kIdleCell};
+    division_.services[std::string(kPressedPool)].cells = {kPressedCell};
+    coordinator_.ExtendAuthority(BootClock().Now() + hours(1));
+  }
+
+  static Endpoint FreeEndpoint() {
+    asio::io_context io;
+    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+    return {"127.0.0.1", acceptor.local_endpoint().port()};
+  }
+
+  static MachineCoordinator::Options Options(const Division* division) {
+    MachineCoordinator::Options options;
+    options.holder = "i-1";
+    options.division = division;
+    options.predecessor = [] { return RolePredecessor{true, Instant{}}; };
+    return options;
+  }
+
+  static nlohmann::json Row(const std::string& name, std::string_view pool) {
+    return {{"Machine", name},
+            {"Pool", pool},
+            {"State", "up"},
+            {"Id", "runner-of-" + name},
+            {"Capacity", {{"Cpu", 32'000}}}};
+  }
+
+  void Serve(const HttpRequest& request, const HttpReply& reply) {
+    if (request.target.starts_with("/machines")) return ServeList(reply);
+    if (request.target.starts_with("/machine-")) {
+      ++orders_;
+      return held_.push_back(reply);
+    }
+    if (request.target.starts_with("/log-newest")) {
+      return reply({200, R"({"items":[],"HasMore":false,"EndOffset":0})", {}});
+    }
+    reply({200, R"({"Offset":0,"EndOffset":1})", {}});
+  }
+
+  void ServeList(const HttpReply& reply) {
+    ++lists_;
+    nlohmann::json rows = nlohmann::json::array();
+    for (int i = 0; i < kMachines; ++i) rows.push_back(Row(Concat("m-", i), kIdlePool));
+    rows.push_back(Row("m-pressed", kPressedPool));
+    reply({200, nlohmann::json({{"Machines", rows}}).dump(), {}});
+  }
+
+  void ServeOwner(const CellCall& call, const CallRouter::Answered& answered) {
+    if (call.verb == CellVerb::kReserveRunner) {
+      return answered({released_ ? CallVerdict::kReady : CallVerdict::kNotReady});
+    }
+    if (call.verb != CellVerb::kReportLoads) return answered({CallVerdict::kReady});
+    ServiceLoad load;
+    if (call.cell == kIdleCell) {
+      load.service = kIdlePool;
+      for (int i = 0; i < kMachines; ++i) load.movable.push_back({Concat("runner-of-m-", i), 0});
+    } else {
+      load.service = kPressedPool;
+      load.backlog_work = 1'000'000;
+    }
+    answered({CallVerdict::kLoads, JobState::kQueued, 0, milliseconds(0), {load}});
+  }
+
+  RouterHooks Hooks() {
+    RouterHooks hooks;
+    hooks.owner = [](CellNumber) { return Endpoint{}; };
+    hooks.serve = [this](const CellCall& call, const CallRouter::Answered& answered) {
+      ServeOwner(call, answered);
+    };
+    hooks.owners_stale = [] {};
+    hooks.owner_gone = [](const Endpoint&) {};
+    return hooks;
+  }
+
+  void StartWithWave() {
+    UpkeepWave wave;
+    wave.number = kWave;
+    wave.within = milliseconds(1);
+    wave.machines = {"m-0"};
+    coordinator_.SetWaves({wave});
+    coordinator_.Start(kToken);
+  }
+
+  void StartWithPools() {
+    coordinator_.SetPools({{std::string(kIdlePool), false}, {std::string(kPressedPool), false}});
+    coordinator_.Start(kToken);
+  }
+
+  void RunFor(int lists) {
+    const int last = lists_ + lists;
+    while (lists_ < last) io_.run_one_for(seconds(10));
+  }
+
+  /// Runs until the only order was sent and given up.
+  void RunUntilOrderIsGivenUp() {
+    while (orders_ == 0 && lists_ < kRoundsToOrder) io_.run_one_for(seconds(10));
+    REQUIRE(orders_ == 1);
+    released_ = false;
+    const Instant sent = BootClock().Now();
+    while (BootClock().Now() < sent + seconds(2)) io_.run_one_for(milliseconds(50));
+  }
+
+  asio::io_context io_;
+  const Endpoint at_ = FreeEndpoint();
+  bool released_ = true;  ///< What the owner of a runner says.
+  int orders_ = 0;
+  int lists_ = 0;
+  std::vector<HttpReply> held_;
+  AsyncHttpServer server_{
+      &io_, [this](const HttpRequest& request, const HttpReply& reply) { Serve(request, reply); },
+      [] { return HttpServerLimits(); }};
+  MetricsRegistry metrics_;
+  MachineClient machines_{&io_, at_, &metrics_};
+  StoreClient store_{&io_, at_, &metrics_};
+  CallRouter router_{&io_, Endpoint{}, Hooks()};
+  Division division_;
+  MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_, Options(&division_)};
+};
+
+// Guards against AVAIL (issue 25): an upkeep order is repeated after the owner's release of the
+// runner has lapsed, and ends a lasting task while others of its step are away.
+TEST_CASE_METHOD(OrderRepeatTest, "Upkeep_NotAnsweredAndRunnerNotReleasedAgain_IsNotRepeated") {
+  StartWithWave();
+  RunUntilOrderIsGivenUp();
+  CHECK(orders_ == 1);
+  released_ = true;
+  RunFor(kRoundsToRepeat);
+  CHECK(orders_ == 2);
+}
+
+// Guards against the same with an order to move a machine.
+TEST_CASE_METHOD(OrderRepeatTest, "Move_NotAnsweredAndRunnerNotReleasedAgain_IsNotRepeated") {
+  StartWithPools();
+  RunUntilOrderIsGivenUp();
+  CHECK(orders_ == 1);
+  released_ = true;
+  RunFor(kRoundsToRepeat);
+  CHECK(orders_ == 2);
+}
+
+}  // namespace
+}  // namespace wigeonlane
