cells: an owner whose renewals are not confirmed lets no lasting task go

Cause: a release was given without regard to the owner's authority. An owner that is cut off from the store but not from the coordinator went on releasing runners after its cell had been dealt on, while its successor, which counts only what was let go before it took over, released others of the same step. Change: a lasting task may be ended only while the membership can not have lapsed: up to 1 s after the last confirmed renewal. Renewals are 0.25 s apart, so two may be lost. Runners without lasting tasks are released as before.

--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -13,6 +13,9 @@
 /// From a release to the moment at which the machine goes down at the latest: 0.4 s for the answer
 /// to the coordinator, 0.3 s in line (OrderWindow) and 1.5 s until an order is given up.
 constexpr std::chrono::milliseconds kOrderReach{2'200};
+/// A membership ends this long after its last renewal at the earliest (OwnershipOptions), and the
+/// cell is dealt to a successor.
+constexpr std::chrono::milliseconds kLeastMembership{1'000};
 
 }  // namespace
 
@@ -68,6 +71,8 @@
   if (entry == nullptr || IsFinal(entry->job.state())) return true;
   const StepSpec& spec = entry->job.spec().steps[id.step];
   if (!spec.long_running) return false;
+  // A successor waits for what was let go before it was dealt the cell.
+  if (!HasAuthority(now + options_.authority - kLeastMembership)) return false;
   // What a predecessor released, or was stopping, may go down at any time and is not known here.
   if (entry->inherited && now < ReleaseEnd(restored_at_)) return false;
   const auto& tasks = entry->job.occurrences()[id.occurrence].steps[id.step].tasks;
--- a/tests/cells/cell_released_runner_test.cc
+++ b/tests/cells/cell_released_runner_test.cc
@@ -69,5 +69,16 @@
   CHECK_FALSE(ReleasesSecondBesideFirst(down_at));
 }
 
+// Guards against an owner that is cut off from the store and releases a runner beside one that its
+// successor, which does not know, lets go: the successor is dealt the cell 1 s after the last
+// renewal at the earliest.
+TEST_CASE_METHOD(CellReleasedRunnerTest,
+                 "Release_RenewalsAreNotConfirmed_IsRefusedOnceCellIsLost") {
+  now_ += milliseconds(990);
+  CHECK(Release(0));
+  now_ += milliseconds(20);
+  CHECK_FALSE(Release(0));
+}
+
 }  // namespace
 }  // namespace wigeonlane
