--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -159,9 +159,10 @@
   for (const std::string& machine : open) {
     if (!may_order()) return;
     const Move& move = moves_.at(machine);
-    if (move.ordered || move.before.runner.empty()) {
+    if (move.before.runner.empty()) {
       Order(machine, holder, may_order);
     } else {
+      // Also before an order is repeated: the release that the first relied on may have lapsed.
       Prepare(machine, holder, may_order);
     }
   }
@@ -171,7 +172,7 @@
                            const std::function<bool()>& may_order) {
   owners_->Reserve(moves_.at(machine).before, [this, machine, holder, may_order] {
     const auto move = moves_.find(machine);
-    if (move != moves_.end() && !move->second.ordered) Order(machine, holder, may_order);
+    if (move != moves_.end() && !move->second.confirmed) Order(machine, holder, may_order);
   });
 }
 
