daemon: a machine that went down by an order without an answer is told to its runner's owner

Cause: only an answer made the coordinator tell the owner; a move whose repeat was refused was forgotten. Change: the next lists settle orders without an answer. A machine whose runner is gone is told to the owner; one of a wave then counts as busy, so that it is ordered again once it is up, as it may have gone for another cause; a move waits for the list also when its repeat is refused.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -52,6 +52,7 @@
   active_ = true;
   plans_.clear();
   answered_.clear();
+  unanswered_.clear();
   begun_unstored_.clear();
   balancer_.Reset();
   rounds_.Reset();
@@ -190,6 +191,7 @@
 void MachineCoordinator::AdvancePlan(WavePlan* plan, const MachineList& machines,
                                      std::uint64_t tenure) {
   plan->TakeMachines(machines, clock_.Now());
+  SettleUnanswered(plan, machines);
   for (const std::string& machine : plan->Unanswered()) {
     const auto listed = machines.find(machine);
     // The release that the first order relied on may have lapsed.
@@ -200,6 +202,21 @@
   }
 }
 
+/// Machines that went down though no order to them was answered. They are ordered again once they
+/// are up, since they may have gone for another cause.
+void MachineCoordinator::SettleUnanswered(WavePlan* plan, const MachineList& machines) {
+  for (const std::string& machine : plan->Unanswered()) {
+    const auto listed = machines.find(machine);
+    const auto before = unanswered_.find(machine);
+    if (listed == machines.end() || before == unanswered_.end()) continue;
+    if (!RunnerIsGone(before->second, listed->second)) continue;
+    LogDecision("upkeep_unanswered", {{"machine", machine}, {"runner", before->second.runner}});
+    owners_.TellGone(before->second);
+    plan->FoundBusy(machine, clock_.Now());
+    unanswered_.erase(before);
+  }
+}
+
 void MachineCoordinator::Prepare(std::uint64_t wave, const ListedMachine& machine,
                                  std::uint64_t tenure) {
   if (machine.runner.empty()) return Order(wave, machine, tenure);
@@ -255,6 +272,7 @@
     case MachineAnswer::kRefused:
       return plan.Refused(machine.machine);
     case MachineAnswer::kUnknown:
+      unanswered_.try_emplace(machine.machine, machine);
       return plan.Unknown(machine.machine);  // Is repeated in the next round.
   }
 }
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -76,6 +76,7 @@
   void Ordered(std::uint64_t wave, const ListedMachine& machine, MachineAnswer answer,
                std::uint64_t tenure);
   void ReportGone(const AnsweredMachines& answered, const MachineList& machines);
+  void SettleUnanswered(WavePlan* plan, const MachineList& machines);
   void StoreBegun();
   void StoreStatus(std::uint64_t wave, bool completed);
 
@@ -102,6 +103,8 @@
   /// The answer is the same when the upkeep was over already, so the first list that is read after
   /// it tells whether the runner is gone.
   AnsweredMachines answered_;
+  /// Machines whose order was not answered, likewise.
+  std::map<std::string, ListedMachine> unanswered_;
 };
 
 }  // namespace wigeonlane
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -48,6 +48,7 @@
 
 void PoolBalancer::Round(const MachineList& machines, const std::set<std::string>& reserved,
                          const OrderHolder& holder, const std::function<bool()>& may_order) {
+  SettleUnanswered(machines);
   DropFinished(machines);
   // Returns that have not been ordered are planned anew: another pool may need the machine by now.
   std::erase_if(
@@ -141,6 +142,18 @@
   return views;
 }
 
+/// Moves that were carried out though no order was answered.
+void PoolBalancer::SettleUnanswered(const MachineList& machines) {
+  for (auto& [machine, move] : moves_) {
+    const auto listed = machines.find(machine);
+    if (!move.unanswered || move.confirmed || listed == machines.end()) continue;
+    if (!RunnerIsGone(move.before, listed->second)) continue;
+    LogDecision("move_unanswered", {{"machine", machine}, {"runner", move.before.runner}});
+    move.confirmed = true;
+    owners_->TellGone(move.before);
+  }
+}
+
 void PoolBalancer::DropFinished(const MachineList& machines) {
   std::erase_if(moves_, [&](const auto& entry) {
     const auto listed = machines.find(entry.first);
@@ -201,9 +214,10 @@
                              {"from", move.before.pool},
                              {"to", move.to},
                              {"answer", Concat(static_cast<int>(answer))}});
-  if (answer == MachineAnswer::kUnknown) return;  // Repeated in the next round.
+  if (answer == MachineAnswer::kUnknown) move.unanswered = true;  // Repeated in the next round.
   if (answer != MachineAnswer::kDone) {
-    moves_.erase(found);
+    // A later list tells what became of an order without an answer, also if its repeat is refused.
+    if (!move.unanswered) moves_.erase(found);
     return;
   }
   move.confirmed = true;
--- a/daemon/pool_balancer.h
+++ b/daemon/pool_balancer.h
@@ -49,6 +49,7 @@
     ListedMachine before;
     Instant since{};
     bool ordered = false;
+    bool unanswered = false;  ///< An order was sent and not answered: it may be carried out.
     bool confirmed = false;
   };
 
@@ -63,6 +64,7 @@
   bool IsSpare(const std::string& service) const;
   std::vector<PoolView> Views(const MachineList& machines,
                               const std::set<std::string>& reserved) const;
+  void SettleUnanswered(const MachineList& machines);
   void DropFinished(const MachineList& machines);
   void Continue(const OrderHolder& holder, const std::function<bool()>& may_order);
   void Prepare(const std::string& machine, const OrderHolder& holder,
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -34,6 +34,11 @@
   std::string rack = {};
 };
 
+/// Whether the runner that a machine had is gone, by a later list.
+inline bool RunnerIsGone(const ListedMachine& before, const ListedMachine& listed) {
+  return !listed.up || listed.runner != before.runner;
+}
+
 enum class UpkeepPhase : std::uint8_t {
   kWaiting,
   kPreparing,  ///< Nothing new is started there; its tasks are waited for.
--- a/tests/daemon/order_repeat_test.cc
+++ b/tests/daemon/order_repeat_test.cc
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -55,10 +56,10 @@
     return options;
   }
 
-  static nlohmann::json Row(const std::string& name, std::string_view pool) {
+  nlohmann::json Row(const std::string& name, std::string_view pool) const {
     return {{"Machine", name},
             {"Pool", pool},
-            {"State", "up"},
+            {"State", down_.contains(name) ? "upkeep" : "up"},
             {"Id", "runner-of-" + name},
             {"Capacity", {{"Cpu", 32'000}}}};
   }
@@ -67,6 +68,7 @@
     if (request.target.starts_with("/machines")) return ServeList(reply);
     if (request.target.starts_with("/machine-")) {
       ++orders_;
+      ordered_ = nlohmann::json::parse(request.body).at("Machine");
       return held_.push_back(reply);
     }
     if (request.target.starts_with("/log-newest")) {
@@ -87,6 +89,7 @@
     if (call.verb == CellVerb::kReserveRunner) {
       return answered({released_ ? CallVerdict::kReady : CallVerdict::kNotReady});
     }
+    if (call.verb == CellVerb::kRunnerGone) gone_.insert(call.name);
     if (call.verb != CellVerb::kReportLoads) return answered({CallVerdict::kReady});
     ServiceLoad load;
     if (call.cell == kIdleCell) {
@@ -140,7 +143,10 @@
 
   asio::io_context io_;
   const Endpoint at_ = FreeEndpoint();
-  bool released_ = true;  ///< What the owner of a runner says.
+  bool released_ = true;        ///< What the owner of a runner says.
+  std::set<std::string> down_;  ///< Machines that are listed as not up.
+  std::set<std::string> gone_;  ///< Runners that their owners were told to be gone.
+  std::string ordered_;         ///< Machine of the last order.
   int orders_ = 0;
   int lists_ = 0;
   std::vector<HttpReply> held_;
@@ -176,5 +182,26 @@
   CHECK(orders_ == 2);
 }
 
+// Guards against a task that is away for the whole lease of its runner: the machine went down by an
+// order whose answer was lost, and the owner was not told.
+TEST_CASE_METHOD(OrderRepeatTest, "Upkeep_NotAnsweredAndMachineIsDown_OwnerIsTold") {
+  StartWithWave();
+  RunUntilOrderIsGivenUp();
+  CHECK(gone_.empty());
+  down_ = {ordered_};
+  RunFor(kRoundsToRepeat);
+  CHECK(gone_ == std::set<std::string>{"runner-of-" + ordered_});
+}
+
+// Guards against the same with an order to move a machine.
+TEST_CASE_METHOD(OrderRepeatTest, "Move_NotAnsweredAndMachineIsDown_OwnerIsTold") {
+  StartWithPools();
+  RunUntilOrderIsGivenUp();
+  CHECK(gone_.empty());
+  down_ = {ordered_};
+  RunFor(kRoundsToRepeat);
+  CHECK(gone_ == std::set<std::string>{"runner-of-" + ordered_});
+}
+
 }  // namespace
 }  // namespace wigeonlane
