--- a/daemon/machine_orders.cc
+++ b/daemon/machine_orders.cc
@@ -5,8 +5,9 @@
 namespace wigeonlane {
 
 void MachineOrders::Request(MachineOrder order) {
+  const OrderKind kind = order.kind;
   const std::string machine = order.machine;
-  window_.Ask(order.kind, machine, std::move(order), clock_.Now());
+  window_.Ask(kind, machine, std::move(order), clock_.Now());
   SendNext();
 }
 
