cells: a lasting task is evacuated only once room is held for all that must leave

What callers saw: a lasting task that was stopped so that its machine could be taken for upkeep did not start again, because no other runner had room (LOST). Its runner stayed reserved as long as the coordinator asked, since its other tasks could not be ended, and took no work at all.

Cause: Evacuate() stopped a task whenever its step could miss one more, without looking for a place, and ReserveRunner() reserved the runner in any case.

Room is now found first, for every task beyond what the step may miss, as a vector and within most_per_runner, on one or several runners, and held: Runner::Free() is smaller by it for everyone but the task. A task is stopped once its room is free of short tasks. Holds lapse with the reservation, or when their runner drains, is lost or reserved; once the task is stopped its room is held until it starts. Without room for all, nothing is stopped, the runner is not reserved and the answer is kNoPlace, which coordinators treat as not ready. No room is held while the job is held back after a takeover or for a member of a gang, as neither could be started; nothing is stopped without authority to start. A reservation that lasting tasks block for 6 s is given up for 1 s so that the runner takes work, and after 3 s if the runner could run a missing task of the step, whose only place it may be.

Ruled out: KeepRoom() alone. It keeps a whole runner for a single task and only after that task has been stopped.

Evidence: cell_evacuation_test on the former code (with the new verdict and the member Runner::held added so that it compiles): 13 of 14 cases fail, Evacuate_RoomOnlyAcrossSeveralRunners passes.

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -253,6 +253,7 @@
   if (deposed_) return;
   AdvanceRunners(time);
   ExpireFinished(time);
+  DropLapsedHolds(time.now);
   Schedule(time);
   if (commits_.Stall(time.now) > options_.commit_stall) RefuseUnsent();
   Commit(time);
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -22,6 +22,7 @@
 #include "cells/cell_options.h"
 #include "cells/cell_types.h"
 #include "cells/commit_queue.h"
+#include "cells/held_room.h"
 #include "cells/role_tenure.h"
 #include "cells/runner.h"
 #include "cells/unsettled_runners.h"
@@ -89,7 +90,9 @@
   CallAnswer ReportLoads(CellTime time) const;
 
   /// Reserves a runner for upkeep: nothing starts there any more. Says whether it may be taken
-  /// now, which is when nothing runs on it that should not be ended.
+  /// now, which is when nothing runs on it that should not be ended. Lasting tasks that have to
+  /// leave are stopped once room is held for all of them; where there is none the runner is not
+  /// reserved.
   CallAnswer ReserveRunner(const std::string& runner_id, CellTime time);
 
   /// The machine of a runner was taken down: that life is over.
@@ -158,6 +161,9 @@
   /// What ends with a task: it alone, or everything on its runner.
   enum class Ending : std::uint8_t { kOneTask, kWholeRunner };
 
+  /// What keeps a runner from being taken.
+  enum class Blocker : std::uint8_t { kNothing, kShortTask, kLastingTask };
+
   /// What becomes true when a batch is stored.
   struct Effect {
     JobId job;
@@ -227,7 +233,23 @@
   void RequestStop(Runner* runner, const TaskId& task, Instant now);
   void StopJob(JobEntry* entry, Instant now);
   bool MayEnd(const Runner& runner, const TaskId& id, Ending ending, Instant now);
+  bool AtWork(const TaskId& id, const TaskState& task, Instant now);
+  Blocker BlockerOf(const Runner& runner, Instant now);
+  bool PrepareEvacuation(Runner* runner, Instant now);
+  bool CouldTakeMissing(const Runner& runner, Instant now);
+  CallAnswer GiveUpReservation(Runner* runner, Instant now);
   void Evacuate(Runner* runner, Instant now);
+  bool HoldRoomToLeave(const Runner& runner, Instant now);
+  bool HoldRoomForStep(const Runner& runner, std::vector<TaskId> tasks, Instant now);
+  bool HoldRoom(const JobEntry& entry, const TaskId& id, const Runner& origin, Instant now);
+  Runner* ChooseHolder(const JobEntry& entry, const TaskId& id, const Runner& origin, Instant now);
+  bool OnTheWay(const TaskId& id, const HeldRoom& room);
+  bool HoldStands(const TaskId& id, const HeldRoom& room, Instant now);
+  void DropHold(const TaskId& id);
+  void DropHoldsOf(const Runner& origin);
+  void DropLapsedHolds(Instant now);
+  bool HoldsFor(RunnerKey key) const;
+  Resources FreeFor(const Runner& runner, const TaskId& id) const;
 
   void Schedule(CellTime time);
   void RankStale(Instant now);
@@ -243,6 +265,9 @@
                        Instant now);
   std::string RackOfStep(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step);
   std::uint32_t RunsOfStep(const Runner& runner, const TaskId& task) const;
+  std::uint32_t HoldsOfStep(const Runner& runner, const TaskId& task) const;
+  double CostOf(const JobEntry& entry, const Runner& runner, const TaskId& id,
+                const std::string& rack) const;
   bool MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id, Instant now) const;
   void KeepRoom(const JobEntry& entry, const TaskId& id, Instant now);
   void Start(JobEntry* entry, const TaskId& id, Runner* runner, RunNumber run, CellTime time);
@@ -280,7 +305,8 @@
   std::unordered_set<JobId> stale_;  ///< Jobs to be ranked again.
   Instant rank_all_at_{};
   FullShapes full_shapes_;
-  std::set<RunnerKey> opened_;  ///< Runners that may have room since shapes were noted.
+  std::set<RunnerKey> opened_;             ///< Runners that may have room since shapes were noted.
+  std::map<TaskId, HeldRoom> held_rooms_;  ///< By the lasting task that is to leave its runner.
   /// When tasks that found no place are tried again. Reservations, pauses and tickets end without
   /// an event, and an idle cell hears of nothing.
   Instant schedule_again_ = Instant::max();
--- /dev/null
+++ b/cells/cell_evacuations.cc
@@ -0,0 +1,204 @@
+/// Lasting tasks that have to leave a runner: room is held for all of them before one is stopped.
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "cells/cell.h"
+#include "core/logging.h"
+#include "core/text.h"
+#include "scheduling/placement.h"
+
+namespace wigeonlane {
+namespace {
+
+/// As long as the reservation of the runner to be left, which is renewed together with the hold.
+constexpr std::chrono::milliseconds kHold{2'000};
+
+bool SameStep(const TaskId& a, const TaskId& b) {
+  return a.job == b.job && a.occurrence == b.occurrence && a.step == b.step;
+}
+
+}  // namespace
+
+/// Holds room for the lasting tasks that have to leave; false when there is none for one of them,
+/// and then none is held.
+bool Cell::HoldRoomToLeave(const Runner& runner, Instant now) {
+  std::vector<TaskId> lasting;
+  for (const auto& [task, run] : runner.runs) {
+    if (run.lasting && run.phase != RunPhase::kStopping) lasting.push_back(task);
+  }
+  std::sort(lasting.begin(), lasting.end());
+  std::vector<std::vector<TaskId>> steps;
+  for (const TaskId& task : lasting) {
+    if (steps.empty() || !SameStep(steps.back().front(), task)) steps.emplace_back();
+    steps.back().push_back(task);
+  }
+  // Large tasks first: what they leave over is of use to the small ones.
+  const auto size = [&](const std::vector<TaskId>& tasks) {
+    return MissingShare(runner.listing.capacity, {}, runner.runs.at(tasks.front()).load);
+  };
+  std::stable_sort(steps.begin(), steps.end(),
+                   [&](const auto& a, const auto& b) { return size(a) > size(b); });
+  for (std::vector<TaskId>& tasks : steps) {
+    if (HoldRoomForStep(runner, std::move(tasks), now)) continue;
+    DropHoldsOf(runner);
+    return false;
+  }
+  return true;
+}
+
+/// Holds room for as many of a step's tasks on a runner as the step cannot miss at once; false when
+/// there is too little. Room for as many as are away elsewhere is welcome, but they may come back.
+bool Cell::HoldRoomForStep(const Runner& runner, std::vector<TaskId> tasks, Instant now) {
+  const JobEntry* entry = FindJob(tasks.front().job);
+  if (entry == nullptr || IsFinal(entry->job.state())) return true;
+  const TaskId& first = tasks.front();
+  const std::uint32_t may_miss = std::max(entry->job.spec().steps[first.step].may_be_missing, 1U);
+  const auto count = static_cast<std::uint32_t>(tasks.size());
+  const auto& all = entry->job.occurrences()[first.occurrence].steps[first.step].tasks;
+  std::uint32_t away = 0;
+  for (std::uint32_t index = 0; index < all.size(); ++index) {
+    const TaskId id{first.job, first.occurrence, first.step, index};
+    if (all[index].phase == TaskPhase::kWaiting && !held_rooms_.contains(id)) ++away;
+  }
+  const std::uint32_t must_leave = count > may_miss ? count - may_miss : 0;
+  const std::uint32_t should_leave =
+      count + away > may_miss ? std::min(count, count + away - may_miss) : 0;
+  std::stable_partition(tasks.begin(), tasks.end(),
+                        [&](const TaskId& id) { return held_rooms_.contains(id); });
+  std::uint32_t found = 0;
+  for (const TaskId& id : tasks) {
+    if (found < should_leave && HoldRoom(*entry, id, runner, now)) {
+      ++found;
+    } else {
+      DropHold(id);
+    }
+  }
+  return found >= must_leave;
+}
+
+/// Holds room for one task, or goes on holding it.
+bool Cell::HoldRoom(const JobEntry& entry, const TaskId& id, const Runner& origin, Instant now) {
+  const auto held = held_rooms_.find(id);
+  if (held != held_rooms_.end()) {
+    held->second.until = now + kHold;
+    if (HoldStands(id, held->second, now)) return true;
+    DropHold(id);
+  }
+  Runner* holder = ChooseHolder(entry, id, origin, now);
+  if (holder == nullptr) return false;
+  const Resources load = entry.job.spec().steps[id.step].Load();
+  holder->held += load;
+  held_rooms_[id] = {holder->key, origin.key, load, now + kHold};
+  LogDecision("hold_room", {{"job", std::string(id.job.text())},
+                            {"task", id.ToString()},
+                            {"from", origin.listing.id},
+                            {"runner", holder->listing.id},
+                            {"held", Concat(held_rooms_.size())}});
+  return true;
+}
+
+/// A runner that has room for a task once its short tasks have ended.
+Runner* Cell::ChooseHolder(const JobEntry& entry, const TaskId& id, const Runner& origin,
+                           Instant now) {
+  const StepSpec& step = entry.job.spec().steps[id.step];
+  // Nothing of such a step could be started now: a gang starts whole or not at all.
+  if (step.gang || HeldBack(entry)) return nullptr;
+  const Resources load = step.Load();
+  const std::string rack = RackOfStep(entry, id.occurrence, id.step);
+  Runner* best = nullptr;
+  double best_cost = std::numeric_limits<double>::infinity();
+  for (auto& [key, runner] : runners_) {
+    if (key == origin.key || runner.listing.service != entry.job.policy().service) continue;
+    if (!runner.IsOpen(now) || !runner.HasLabel(step.required_label)) continue;
+    if (!runner.FreeOfShortTasks().Holds(load) || runner.KeptFromTask(id, now)) continue;
+    if (!MayHost(entry, runner, id, now)) continue;
+    const double cost = CostOf(entry, runner, id, rack);
+    if (cost >= best_cost) continue;
+    best_cost = cost;
+    best = &runner;
+  }
+  return best;
+}
+
+/// Stops one task whose room is free by now.
+void Cell::Evacuate(Runner* runner, Instant now) {
+  if (!HasAuthority(now)) return;
+  for (const auto& [task, room] : held_rooms_) {
+    if (room.origin != runner->key) continue;
+    const auto run = runner->runs.find(task);
+    if (run == runner->runs.end() || run->second.phase != RunPhase::kRunning) continue;
+    const Runner* holder = FindRunner(room.runner);
+    if (!holder->IsOpen(now) || !FreeFor(*holder, task).Holds(room.load)) continue;
+    if (!MayEnd(*runner, task, Ending::kOneTask, now)) continue;
+    LogDecision("evacuate", {{"job", std::string(task.job.text())},
+                             {"task", task.ToString()},
+                             {"runner", runner->listing.id},
+                             {"to", holder->listing.id}});
+    runner->blocked_since = now;
+    return RequestStop(runner, task, now);
+  }
+}
+
+/// Whether the task has been stopped so that it starts where its room is.
+bool Cell::OnTheWay(const TaskId& id, const HeldRoom& room) {
+  JobEntry* entry = FindJob(id.job);
+  const TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(id);
+  if (task == nullptr || IsFinal(entry->job.state())) return false;
+  if (task->phase == TaskPhase::kWaiting) return true;
+  Runner* origin = FindRunner(room.origin);
+  if (origin == nullptr || task->runner != room.origin) return false;
+  const LiveRun* run = FindRun(origin, id, task->last_run);
+  return run != nullptr && run->phase == RunPhase::kStopping;
+}
+
+bool Cell::HoldStands(const TaskId& id, const HeldRoom& room, Instant now) {
+  const Runner* holder = FindRunner(room.runner);
+  if (holder == nullptr || !holder->InUse(now) || !holder->health.Admits(now)) return false;
+  if (OnTheWay(id, room)) return true;
+  const JobEntry* entry = FindJob(id.job);
+  return entry != nullptr && !IsFinal(entry->job.state()) && now < room.until;
+}
+
+void Cell::DropHold(const TaskId& id) {
+  const auto held = held_rooms_.find(id);
+  if (held == held_rooms_.end()) return;
+  if (Runner* holder = FindRunner(held->second.runner)) {
+    holder->held -= held->second.load;
+    opened_.insert(holder->key);
+    schedule_wanted_ = true;
+  }
+  held_rooms_.erase(held);
+}
+
+/// Gives up what is held for tasks that have not been stopped.
+void Cell::DropHoldsOf(const Runner& origin) {
+  std::vector<TaskId> dropped;
+  for (const auto& [id, room] : held_rooms_) {
+    if (room.origin == origin.key && !OnTheWay(id, room)) dropped.push_back(id);
+  }
+  for (const TaskId& id : dropped) DropHold(id);
+}
+
+void Cell::DropLapsedHolds(Instant now) {
+  std::vector<TaskId> lapsed;
+  for (const auto& [id, room] : held_rooms_) {
+    if (!HoldStands(id, room, now)) lapsed.push_back(id);
+  }
+  for (const TaskId& id : lapsed) DropHold(id);
+}
+
+bool Cell::HoldsFor(RunnerKey key) const {
+  return std::any_of(held_rooms_.begin(), held_rooms_.end(),
+                     [&](const auto& held) { return held.second.runner == key; });
+}
+
+/// What the task could take; its own room is not held from it.
+Resources Cell::FreeFor(const Runner& runner, const TaskId& id) const {
+  Resources free = runner.Free();
+  const auto held = held_rooms_.find(id);
+  if (held != held_rooms_.end() && held->second.runner == runner.key) free += held->second.load;
+  return free;
+}
+
+}  // namespace wigeonlane
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -10,6 +10,14 @@
 
 /// A reservation that is not renewed lapses: whoever asked for it is gone.
 constexpr std::chrono::milliseconds kReservation{2'000};
+/// A reserved runner waits this long for lasting tasks elsewhere to be at work, or for room: two
+/// machines of the step in turn, each away for 2 s (platform: MaintenanceS) and a start.
+constexpr std::chrono::milliseconds kLongestBlocked{6'000};
+/// The same for a runner that could take a missing task of the step itself: one such machine.
+constexpr std::chrono::milliseconds kLongestInTheWay{3'000};
+/// Then it takes work for this long, so that a task that has no other place can start there: five
+/// tries of placement.
+constexpr std::chrono::milliseconds kUnreserved{1'000};
 
 }  // namespace
 
@@ -17,38 +25,83 @@
   const auto key = key_by_id_.find(runner_id);
   Runner* runner = key == key_by_id_.end() ? nullptr : FindRunner(key->second);
   if (runner == nullptr || !runner->claimed) return {CallVerdict::kNotReady};
+  // Lasting tasks of another runner have been promised this place.
+  if (HoldsFor(runner->key)) return {CallVerdict::kNoPlace};
+  const Blocker blocker = BlockerOf(*runner, time.now);
+  if (blocker != Blocker::kLastingTask) {
+    runner->blocked_since = time.now;
+  } else if (!PrepareEvacuation(runner, time.now)) {
+    return GiveUpReservation(runner, time.now);
+  }
   if (time.now >= runner->reserved_until) {
     LogDecision(
         "reserve_runner",
         {{"runner", runner_id}, {"cell", Concat(number_)}, {"runs", Concat(runner->runs.size())}});
   }
   runner->reserved_until = time.now + kReservation;
-  for (const auto& [task, run] : runner->runs) {
-    if (MayEnd(*runner, task, Ending::kWholeRunner, time.now)) continue;
-    Evacuate(runner, time.now);
-    return {CallVerdict::kNotReady};
+  if (blocker == Blocker::kNothing) {
+    runner->released_until = time.now + kReservation;
+    return {CallVerdict::kReady};
   }
-  runner->released_until = time.now + kReservation;
-  return {CallVerdict::kReady};
+  Evacuate(runner, time.now);
+  return {CallVerdict::kNotReady};
 }
 
-void Cell::RunnerGone(const std::string& runner_id, CellTime time) {
-  const auto key = key_by_id_.find(runner_id);
-  if (key != key_by_id_.end()) LoseRunner(key->second, "its machine was taken down", time);
+/// Lasting tasks go before others: those end by themselves.
+Cell::Blocker Cell::BlockerOf(const Runner& runner, Instant now) {
+  Blocker blocker = Blocker::kNothing;
+  for (const auto& [task, run] : runner.runs) {
+    if (MayEnd(runner, task, Ending::kWholeRunner, now)) continue;
+    if (run.lasting) return Blocker::kLastingTask;
+    blocker = Blocker::kShortTask;
+  }
+  return blocker;
+}
+
+/// Whether the runner may be reserved for its lasting tasks to be able to leave: there is room for
+/// them, and they have not waited too long for the step's others to be back.
+bool Cell::PrepareEvacuation(Runner* runner, Instant now) {
+  if (now < runner->unreserved_until) return false;
+  if (now >= runner->reserved_until) runner->blocked_since = now;
+  const auto longest = CouldTakeMissing(*runner, now) ? kLongestInTheWay : kLongestBlocked;
+  if (now - runner->blocked_since >= longest) {
+    runner->unreserved_until = now + kUnreserved;
+    return false;
+  }
+  return HoldRoomToLeave(*runner, now);
+}
+
+/// Whether a runner could run a task that is away from a step whose tasks it has.
+bool Cell::CouldTakeMissing(const Runner& runner, Instant now) {
+  for (const auto& [task, run] : runner.runs) {
+    const JobEntry* entry = run.lasting ? FindJob(task.job) : nullptr;
+    if (entry == nullptr || IsFinal(entry->job.state())) continue;
+    if (!runner.FreeOfShortTasks().Holds(run.load)) continue;
+    const auto& tasks = entry->job.occurrences()[task.occurrence].steps[task.step].tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+      const TaskId other{task.job, task.occurrence, task.step, index};
+      if (tasks[index].phase != TaskPhase::kWaiting || held_rooms_.contains(other)) continue;
+      if (MayHost(*entry, runner, other, now)) return true;
+    }
+  }
+  return false;
 }
 
-/// Stops one lasting task of a runner that holds more tasks of a step than may be missing at once,
-/// so that it starts elsewhere.
-void Cell::Evacuate(Runner* runner, Instant now) {
-  for (const auto& [task, run] : runner->runs) {
-    if (!run.lasting || run.phase != RunPhase::kRunning) continue;
-    if (MayEnd(*runner, task, Ending::kWholeRunner, now)) continue;
-    if (!MayEnd(*runner, task, Ending::kOneTask, now)) continue;
-    LogDecision("evacuate", {{"job", std::string(task.job.text())},
-                             {"task", task.ToString()},
-                             {"runner", runner->listing.id}});
-    return RequestStop(runner, task, now);
+/// The runner takes work again, unless its machine may go down at any time, and the room for its
+/// lasting tasks is others' again.
+CallAnswer Cell::GiveUpReservation(Runner* runner, Instant now) {
+  if (now < runner->reserved_until && now >= runner->released_until) {
+    LogDecision("give_up_reservation", {{"runner", runner->listing.id}, {"cell", Concat(number_)}});
+    runner->reserved_until = now;
+    schedule_wanted_ = true;
   }
+  DropHoldsOf(*runner);
+  return {CallVerdict::kNoPlace};
+}
+
+void Cell::RunnerGone(const std::string& runner_id, CellTime time) {
+  const auto key = key_by_id_.find(runner_id);
+  if (key != key_by_id_.end()) LoseRunner(key->second, "its machine was taken down", time);
 }
 
 /// Whether ending a run is within what its step may miss. Only tasks that last are ended so; the
@@ -64,19 +117,21 @@
   std::uint32_t away = 0;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
     if (index == id.index) continue;
-    Runner* host = FindRunner(tasks[index].runner);
+    const bool with_it = ending == Ending::kWholeRunner && tasks[index].runner == runner.key;
     const TaskId other{id.job, id.occurrence, id.step, index};
-    const LiveRun* run = host == nullptr ? nullptr : FindRun(host, other, tasks[index].last_run);
-    const bool at_work = run != nullptr && run->phase == RunPhase::kRunning &&
-                         run->percent == PaceControl::kFull && host->looks_failed == 0 &&
-                         now - host->clock_at < options_.look_wait * 2;
-    // A runner that was released before may be taken down at any time.
-    const bool with_it =
-        ending == Ending::kWholeRunner && host != nullptr && host->key == runner.key;
-    const bool going = with_it || (host != nullptr && now < host->released_until);
-    if (!at_work || going) ++away;
+    if (with_it || !AtWork(other, tasks[index], now)) ++away;
   }
   return away < std::max(spec.may_be_missing, 1U);
 }
 
+/// Whether a task is known to be at work, on a runner that stays.
+bool Cell::AtWork(const TaskId& id, const TaskState& task, Instant now) {
+  Runner* host = FindRunner(task.runner);
+  const LiveRun* run = host == nullptr ? nullptr : FindRun(host, id, task.last_run);
+  if (run == nullptr || run->phase != RunPhase::kRunning) return false;
+  if (run->percent != PaceControl::kFull || host->looks_failed > 0) return false;
+  // A runner that was released before may be taken down at any time.
+  return now - host->clock_at < options_.look_wait * 2 && now >= host->released_until;
+}
+
 }  // namespace wigeonlane
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -120,7 +120,7 @@
     const TaskId id{entry->job.id(), occurrence, step, index};
     Runner* runner = ChooseRunner(*entry, id, RackOfStep(*entry, occurrence, step), time.now);
     if (runner == nullptr && lasting) {
-      KeepRoom(*entry, id, time.now);
+      if (!held_rooms_.contains(id)) KeepRoom(*entry, id, time.now);
       continue;
     }
     if (runner == nullptr && FailedLately(tasks[index], time.now)) continue;
@@ -178,6 +178,16 @@
       }));
 }
 
+/// Tasks of the same step that are to come to the runner, but for this one.
+std::uint32_t Cell::HoldsOfStep(const Runner& runner, const TaskId& task) const {
+  return static_cast<std::uint32_t>(
+      std::count_if(held_rooms_.begin(), held_rooms_.end(), [&](const auto& held) {
+        return held.second.runner == runner.key && held.first != task &&
+               held.first.job == task.job && held.first.occurrence == task.occurrence &&
+               held.first.step == task.step;
+      }));
+}
+
 /// Whether no runner that has not opened since can take a task of the step, nor any that has.
 bool Cell::NoRoomFor(const JobEntry& entry, const StepSpec& step) const {
   return opened_.empty() &&
@@ -191,17 +201,43 @@
   const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
   if (runner.runs.contains(id)) return false;
   if (task.failed_on == runner.key && FailedLately(task, now)) return false;
-  if (step.most_per_runner > 0 && RunsOfStep(runner, id) >= step.most_per_runner) return false;
+  if (step.most_per_runner > 0 &&
+      RunsOfStep(runner, id) + HoldsOfStep(runner, id) >= step.most_per_runner) {
+    return false;
+  }
   if (!entry.job.policy().advice) return true;
   const StepAdmission* admission = FindAdmission(entry, id);
   return admission != nullptr && admission->TicketFor(runner.key, now) != nullptr;
 }
 
+/// The lowest wins.
+double Cell::CostOf(const JobEntry& entry, const Runner& runner, const TaskId& id,
+                    const std::string& rack) const {
+  const StepSpec& step = entry.job.spec().steps[id.step];
+  const std::uint32_t runs_of_step = step.long_running ? RunsOfStep(runner, id) : 0;
+  PlacementView view;
+  view.capacity = runner.listing.capacity;
+  view.free = runner.Free();
+  view.far_from_data = !step.preferred_rack.empty() && runner.listing.rack != step.preferred_rack;
+  view.blocks_upkeep = step.long_running && runs_of_step >= std::max(step.may_be_missing, 1U);
+  view.lasting = step.long_running;
+  view.hosts_lasting = runner.lasting_runs > 0;
+  view.off_rack = !rack.empty() && runner.listing.rack != rack;
+  return PlacementCost(view, step.Load());
+}
+
 Runner* Cell::ChooseRunner(const JobEntry& entry, const TaskId& id, const std::string& rack,
                            Instant now) {
   const StepSpec& step = entry.job.spec().steps[id.step];
   const std::string& service = entry.job.policy().service;
   const Resources load = step.Load();
+  if (const auto held = held_rooms_.find(id); held != held_rooms_.end()) {
+    Runner* holder = FindRunner(held->second.runner);
+    if (holder != nullptr && holder->IsOpen(now) && FreeFor(*holder, id).Holds(load) &&
+        MayHost(entry, *holder, id, now)) {
+      return holder;
+    }
+  }
   Runner* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
   bool any_room = false;
@@ -211,16 +247,7 @@
     if (runner.KeptFromTask(id, now)) return;
     any_room = true;
     if (!MayHost(entry, runner, id, now)) return;
-    const std::uint32_t runs_of_step = step.long_running ? RunsOfStep(runner, id) : 0;
-    PlacementView view;
-    view.capacity = runner.listing.capacity;
-    view.free = runner.Free();
-    view.far_from_data = !step.preferred_rack.empty() && runner.listing.rack != step.preferred_rack;
-    view.blocks_upkeep = step.long_running && runs_of_step >= std::max(step.may_be_missing, 1U);
-    view.lasting = step.long_running;
-    view.hosts_lasting = runner.lasting_runs > 0;
-    view.off_rack = !rack.empty() && runner.listing.rack != rack;
-    const double cost = PlacementCost(view, load);
+    const double cost = CostOf(entry, runner, id, rack);
     if (cost < best_cost) {
       best_cost = cost;
       best = &runner;
@@ -280,6 +307,7 @@
 
 void Cell::Start(JobEntry* entry, const TaskId& id, Runner* runner, RunNumber run, CellTime time) {
   if (runner->kept_for == id) runner->kept_for.reset();
+  DropHold(id);
   LiveRun live;
   live.run = run;
   live.load = entry->job.spec().steps[id.step].Load();
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -123,6 +123,7 @@
   kReady,      ///< A machine may be taken for upkeep now.
   kNotReady,   ///< It may not yet.
   kLoads,      ///< `loads` holds.
+  kNoPlace,    ///< It may not: its lasting tasks have no other place now. It goes on taking work.
 };
 
 /// A runner whose machine could be moved: no lasting task runs there.
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -74,15 +74,20 @@
   Instant blocked_until{};          ///< No start before this: it had no room or was not well.
   RunnerHealth health;
   PaceControl pace;
-  bool watched = false;      ///< Fillers run beside serving tasks, or a lasting task comes up.
-  Instant reserved_until{};  ///< Nothing starts here: its machine is due for upkeep.
-  Instant released_until{};  ///< It was said that its machine may be taken down.
+  bool watched = false;        ///< Fillers run beside serving tasks, or a lasting task comes up.
+  Instant reserved_until{};    ///< Nothing starts here: its machine is due for upkeep.
+  Instant blocked_since{};     ///< While reserved: its lasting tasks could not be ended since.
+  Instant unreserved_until{};  ///< Not reserved before this: it was blocked for too long.
+  Instant released_until{};    ///< It was said that its machine may be taken down.
   std::optional<TaskId> kept_for;  ///< A lasting task for which what comes free is kept ...
   Instant kept_until{};            ///< ... until then.
+  Resources held;                  ///< For lasting tasks that are to leave other runners.
 
+  /// May be negative while short tasks run in room that is held.
   Resources Free() const {
     Resources free = listing.capacity;
     free -= used;
+    free -= held;
     return free;
   }
 
@@ -111,14 +116,18 @@
            std::find(listing.labels.begin(), listing.labels.end(), label) != listing.labels.end();
   }
 
-  bool AcceptsStarts(Instant now) const {
+  /// Whether it takes starts but for a short pause.
+  bool InUse(Instant now) const {
     return claimed && rostered && listed && !listing.draining && now >= reserved_until &&
-           looks_failed == 0 && now >= blocked_until;
+           looks_failed == 0;
   }
 
+  bool AcceptsStarts(Instant now) const { return InUse(now) && now >= blocked_until; }
+
   /// What would be free if only its lasting tasks ran.
   Resources FreeOfShortTasks() const {
     Resources free = listing.capacity;
+    free -= held;
     for (const auto& [task, run] : runs) {
       if (run.lasting) free -= run.load;
     }
