cells: a machine with lasting tasks is not released for a move

What callers saw: nothing yet; found by reading. The coordinator moves machines that an owner has told to hold no lasting task, by a load that may be 1.2 s old. A lasting task that starts there meanwhile was released with the machine as long as its step could miss one, as for upkeep, from which the machine returns. From a move it does not, so that the task ended before there was another place for it.

Cause: ReserveRunner() does not know what a runner is reserved for. A verb of its own, kReserveForMove, refuses a runner with lasting tasks that go on, and does not keep it from other work; tasks being stopped do not count.

The caller, PoolBalancer::Prepare, is not changed here: it has to send kReserveForMove in place of kReserveRunner. Until then moves are as before.

Evidence: with ReserveForMove() forwarding to ReserveRunner(), the test ReserveForMove_RunnerHasALastingTask_HasNoPlace fails (kReady); it passes with the change, as do the rest of cell_test, cell_evacuation_test, cell_fuzz_test and machine_coordinator_test.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -95,6 +95,10 @@
   /// reserved.
   CallAnswer ReserveRunner(const std::string& runner_id, CellTime time);
 
+  /// The same for a machine that is to leave for another pool and does not come back: a runner
+  /// with lasting tasks is not reserved.
+  CallAnswer ReserveForMove(const std::string& runner_id, CellTime time);
+
   /// The machine of a runner was taken down: that life is over.
   void RunnerGone(const std::string& runner_id, CellTime time);
 
@@ -236,6 +240,7 @@
   bool AtWork(const TaskId& id, const TaskState& task, Instant now);
   Blocker BlockerOf(const Runner& runner, Instant now);
   bool PrepareEvacuation(Runner* runner, Instant now);
+  bool HasLastingWork(const Runner& runner);
   bool CouldTakeMissing(const Runner& runner, Instant now);
   CallAnswer GiveUpReservation(Runner* runner, Instant now);
   void Evacuate(Runner* runner, Instant now);
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -103,6 +103,13 @@
     return answer;
   }
 
+  CallAnswer ReserveForMove(const std::string& runner) {
+    if (!active()) return {CallVerdict::kNotOwner};
+    CallAnswer answer = cell_->ReserveForMove(runner, Time());
+    PumpSoon();
+    return answer;
+  }
+
   CallAnswer RunnerGone(const std::string& runner) {
     if (!active()) return {CallVerdict::kNotOwner};
     cell_->RunnerGone(runner, Time());
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -47,6 +47,23 @@
   return {CallVerdict::kNotReady};
 }
 
+CallAnswer Cell::ReserveForMove(const std::string& runner_id, CellTime time) {
+  const auto key = key_by_id_.find(runner_id);
+  Runner* runner = key == key_by_id_.end() ? nullptr : FindRunner(key->second);
+  if (runner != nullptr && HasLastingWork(*runner)) return GiveUpReservation(runner, time.now);
+  return ReserveRunner(runner_id, time);
+}
+
+/// Whether lasting tasks are to go on running there.
+bool Cell::HasLastingWork(const Runner& runner) {
+  return std::any_of(runner.runs.begin(), runner.runs.end(), [this](const auto& entry) {
+    const auto& [task, run] = entry;
+    const JobEntry* job = FindJob(task.job);
+    return run.lasting && run.phase != RunPhase::kStopping && job != nullptr &&
+           !IsFinal(job->job.state());
+  });
+}
+
 /// Lasting tasks go before others: those end by themselves.
 Cell::Blocker Cell::BlockerOf(const Runner& runner, Instant now) {
   Blocker blocker = Blocker::kNothing;
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -281,6 +281,8 @@
       return answered(host->CountPending(call.name));
     case CellVerb::kReserveRunner:
       return answered(host->ReserveRunner(call.name));
+    case CellVerb::kReserveForMove:
+      return answered(host->ReserveForMove(call.name));
     case CellVerb::kReportLoads:
       return answered(host->ReportLoads());
     case CellVerb::kRunnerGone:
--- a/tests/cells/cell_reservation_test.cc
+++ b/tests/cells/cell_reservation_test.cc
@@ -51,5 +51,28 @@
   CHECK(Release(1));
 }
 
+// Guards against a lasting task that started while the move of its machine was being planned: the
+// machine left with it, and no other runner had room.
+TEST_CASE_METHOD(CellReservationTest, "ReserveForMove_RunnerHasALastingTask_HasNoPlace") {
+  for (int round = 0; round < 20; ++round) {
+    CHECK(cell_->ReserveForMove(RunnerName(0), Time()).verdict == CallVerdict::kNoPlace);
+    Pass(milliseconds(100));
+  }
+  CHECK(cell_->FindRunnerById(RunnerName(0))->IsOpen(now_));
+  CHECK(Release(0));  // For upkeep, from which it comes back.
+}
+
+TEST_CASE_METHOD(CellReservationTest, "ReserveForMove_LastingTaskIsCancelled_IsReady") {
+  cell_->Cancel(9, *JobId::Parse("00000000000000a1"), Time());
+  Pass(milliseconds(100));
+  CHECK(cell_->ReserveForMove(RunnerName(0), Time()).verdict == CallVerdict::kReady);
+}
+
+TEST_CASE_METHOD(CellReservationTest, "ReserveForMove_RunnerHasNoTask_IsReady") {
+  ListRunners(kRunners + 1, {2'000, 2'000, 0});
+  Pass(milliseconds(100));
+  CHECK(cell_->ReserveForMove(RunnerName(kRunners), Time()).verdict == CallVerdict::kReady);
+}
+
 }  // namespace
 }  // namespace wigeonlane
