scheduling: a machine whose tasks have no place is passed over by its wave

What callers saw: nothing yet. A machine that is being prepared stays so until it is taken, and counts towards those that are away at once. Owners now answer kNoPlace for a machine whose lasting tasks have no other place; a wave of one machine at a time would stand still on it while others could be taken.

WavePlan::NoPlace() returns the machine to those that wait and passes it over for 1 s. MachineCoordinator::Prepare has to call it on kNoPlace and is not changed here; until then waves are as before.

Evidence: with NoPlace() doing nothing, two of the three new cases fail (1 machine of 4 tried; no pause). With the change scheduling_test, machine_coordinator_test and upkeep_takeover_test pass.

--- a/scheduling/upkeep_planner.cc
+++ b/scheduling/upkeep_planner.cc
@@ -13,6 +13,8 @@
 /// From preparing a machine to its return: tasks of 0.6 to 1.6 s, a wait for other machines that
 /// hold tasks of the same step, 2 s of upkeep, lists and joins.
 constexpr std::chrono::milliseconds kRound{7'000};
+/// Time in which room for a machine's tasks may come free: a short task or two (0.6 to 1.6 s).
+constexpr std::chrono::milliseconds kPassedOver{1'000};
 /// Share of the wave's time that the plan means to use; the rest covers trouble on the way.
 constexpr double kPlannedShare = 0.65;
 
@@ -80,6 +82,8 @@
       if (phase != UpkeepPhase::kWaiting || listed == machines.end() || !listed->second.up) {
         continue;
       }
+      const auto passed_over = passed_over_until_.find(machine);
+      if (passed_over != passed_over_until_.end() && now < passed_over->second) continue;
       const std::uint32_t count = taken[listed->second.pool];
       if (next != nullptr && count >= least) continue;
       next = &machine;
@@ -93,6 +97,13 @@
   return chosen;
 }
 
+void WavePlan::NoPlace(const std::string& machine, Instant now) {
+  UpkeepPhase& phase = phases_[machine];
+  if (phase != UpkeepPhase::kPreparing) return;
+  phase = UpkeepPhase::kWaiting;
+  passed_over_until_[machine] = now + kPassedOver;
+}
+
 void WavePlan::FoundBusy(const std::string& machine, Instant now) {
   phases_[machine] = UpkeepPhase::kBusy;
   down_since_[machine] = now;
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -60,6 +60,10 @@
   std::vector<std::string> ToPrepare(const std::map<std::string, ListedMachine>& machines,
                                      Instant now);
 
+  /// The tasks of a machine that is being prepared have no other place now. Others are prepared
+  /// before it is tried again.
+  void NoPlace(const std::string& machine, Instant now);
+
   /// Whether one more machine may be ordered down.
   bool MayOrder() const { return Away() < wave_.most_at_once; }
   void Ordered(const std::string& machine) { phases_[machine] = UpkeepPhase::kOrdered; }
@@ -91,6 +95,7 @@
   Instant deadline_;
   std::map<std::string, UpkeepPhase> phases_;
   std::map<std::string, Instant> down_since_;
+  std::map<std::string, Instant> passed_over_until_;  ///< By machine; has had no place.
   bool listed_before_ = false;
 };
 
--- a/tests/scheduling/upkeep_planner_test.cc
+++ b/tests/scheduling/upkeep_planner_test.cc
@@ -74,5 +74,38 @@
   CHECK(plan.complete());
 }
 
+// Guards against a wave that stands still because the machines that it prepares cannot be emptied
+// while others could be taken.
+TEST_CASE_METHOD(WavePlanTest, "NoPlace_OtherMachinesWait_TheyArePreparedInItsStead") {
+  wave_.most_at_once = 1;
+  WavePlan plan(wave_, now_);
+  std::set<std::string> tried;
+  for (int round = 0; round < 4; ++round) {
+    const auto chosen = plan.ToPrepare(machines_, now_);
+    REQUIRE(chosen.size() == 1);
+    tried.insert(chosen.front());
+    plan.NoPlace(chosen.front(), now_);
+  }
+  CHECK(tried.size() == 4);
+}
+
+TEST_CASE_METHOD(WavePlanTest, "NoPlace_PauseIsOver_MachineIsTriedAgain") {
+  wave_.machines = {"m1"};
+  WavePlan plan(wave_, now_);
+  REQUIRE(plan.ToPrepare(machines_, now_).size() == 1);
+  plan.NoPlace("m1", now_);
+  CHECK(plan.ToPrepare(machines_, now_ + milliseconds(900)).empty());
+  CHECK(plan.ToPrepare(machines_, now_ + milliseconds(1'000)).size() == 1);
+}
+
+// Guards against a late answer that takes a machine that is down for one that waits.
+TEST_CASE_METHOD(WavePlanTest, "NoPlace_MachineHasGoneDownMeanwhile_StaysAway") {
+  WavePlan plan(wave_, now_);
+  plan.Ordered("m1");
+  plan.Began("m1", now_);
+  plan.NoPlace("m1", now_);
+  CHECK(plan.Taken() == std::set<std::string>{"m1"});
+}
+
 }  // namespace
 }  // namespace wigeonlane
