--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -220,7 +220,12 @@
 void MachineCoordinator::Prepare(std::uint64_t wave, const ListedMachine& machine,
                                  std::uint64_t tenure) {
   if (machine.runner.empty()) return Order(wave, machine, tenure);
-  owners_.Reserve(machine, [this, wave, machine, tenure] { Order(wave, machine, tenure); });
+  owners_.Reserve(machine, [this, wave, machine, tenure](CallVerdict verdict) {
+    if (verdict == CallVerdict::kReady) return Order(wave, machine, tenure);
+    const auto plan = plans_.find(wave);
+    if (verdict != CallVerdict::kNoPlace || tenure != tenure_ || plan == plans_.end()) return;
+    plan->second.NoPlace(machine.machine, clock_.Now());
+  });
 }
 
 void MachineCoordinator::Order(std::uint64_t wave, const ListedMachine& machine,
--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -183,10 +183,12 @@
 
 void PoolBalancer::Prepare(const std::string& machine, const OrderHolder& holder,
                            const std::function<bool()>& may_order) {
-  owners_->Reserve(moves_.at(machine).before, [this, machine, holder, may_order] {
-    const auto move = moves_.find(machine);
-    if (move != moves_.end() && !move->second.confirmed) Order(machine, holder, may_order);
-  });
+  owners_->ReserveForMove(moves_.at(machine).before,
+                          [this, machine, holder, may_order](CallVerdict verdict) {
+                            const auto move = moves_.find(machine);
+                            if (verdict != CallVerdict::kReady || move == moves_.end()) return;
+                            if (!move->second.confirmed) Order(machine, holder, may_order);
+                          });
 }
 
 void PoolBalancer::Order(const std::string& machine, const OrderHolder& holder,
--- a/daemon/runner_owners.cc
+++ b/daemon/runner_owners.cc
@@ -16,15 +16,24 @@
 
 }  // namespace
 
-void RunnerOwners::Reserve(const ListedMachine& machine, std::function<void()> ready) {
-  auto call = CallOn(machine, CellVerb::kReserveRunner);
+void RunnerOwners::Reserve(const ListedMachine& machine, std::function<void(CallVerdict)> told) {
+  Ask(machine, CellVerb::kReserveRunner, std::move(told));
+}
+
+void RunnerOwners::ReserveForMove(const ListedMachine& machine,
+                                  std::function<void(CallVerdict)> told) {
+  Ask(machine, CellVerb::kReserveForMove, std::move(told));
+}
+
+void RunnerOwners::Ask(const ListedMachine& machine, CellVerb verb,
+                       std::function<void(CallVerdict)> told) {
+  auto call = CallOn(machine, verb);
   if (!call || !asked_runners_.insert(machine.runner).second) return;
-  router_->Call(
-      *std::move(call), kNoHandover, kAskTimeout,
-      [this, runner = machine.runner, ready = std::move(ready)](const CallAnswer& answer) {
-        asked_runners_.erase(runner);
-        if (answer.verdict == CallVerdict::kReady) ready();
-      });
+  router_->Call(*std::move(call), kNoHandover, kAskTimeout,
+                [this, runner = machine.runner, told = std::move(told)](const CallAnswer& answer) {
+                  asked_runners_.erase(runner);
+                  told(answer.verdict);
+                });
 }
 
 void RunnerOwners::TellGone(const ListedMachine& machine) {
--- a/daemon/runner_owners.h
+++ b/daemon/runner_owners.h
@@ -21,9 +21,13 @@
   RunnerOwners(CallRouter* router, const Division* division)
       : router_(router), division_(division) {}
 
-  /// Asks for the runner on `machine` to be emptied. `ready` is called when it may be taken down;
-  /// otherwise nothing is, and the question is to be repeated.
-  void Reserve(const ListedMachine& machine, std::function<void()> ready);
+  /// Asks for the runner on `machine` to be emptied for upkeep. `told` is called with kReady when
+  /// it may be taken down, with kNoPlace when its tasks have no other place, and with other
+  /// verdicts when the question is to be repeated.
+  void Reserve(const ListedMachine& machine, std::function<void(CallVerdict)> told);
+
+  /// The same for a move, which ends no lasting task.
+  void ReserveForMove(const ListedMachine& machine, std::function<void(CallVerdict)> told);
 
   /// Tells that the runner on `machine`, as it was listed before its order, is gone.
   void TellGone(const ListedMachine& machine);
@@ -32,6 +36,8 @@
   void AskLoads(CellNumber cell, std::function<void(const std::vector<ServiceLoad>&)> told);
 
  private:
+  void Ask(const ListedMachine& machine, CellVerb verb, std::function<void(CallVerdict)> told);
+
   /// A call to the owner of the runner on `machine`; nothing while its cell is not recorded, as
   /// with a new rack, or while the machine has no runner.
   std::optional<CellCall> CallOn(const ListedMachine& machine, CellVerb verb) const;
--- a/tests/daemon/order_repeat_test.cc
+++ b/tests/daemon/order_repeat_test.cc
@@ -86,7 +86,7 @@
   }
 
   void ServeOwner(const CellCall& call, const CallRouter::Answered& answered) {
-    if (call.verb == CellVerb::kReserveRunner) {
+    if (call.verb == CellVerb::kReserveRunner || call.verb == CellVerb::kReserveForMove) {
       return answered({released_ ? CallVerdict::kReady : CallVerdict::kNotReady});
     }
     if (call.verb == CellVerb::kRunnerGone) gone_.insert(call.name);
--- a/tests/daemon/runner_owners_test.cc
+++ b/tests/daemon/runner_owners_test.cc
@@ -22,6 +22,11 @@
     return machine;
   }
 
+  void Reserve(const std::string& runner) {
+    owners_.Reserve(Machine(runner),
+                    [this](CallVerdict verdict) { ready_ += verdict == CallVerdict::kReady; });
+  }
+
   void AnswerAll(CallVerdict verdict) {
     for (auto& answered : std::exchange(open_, {})) answered({verdict});
   }
@@ -29,6 +34,7 @@
   const Endpoint self_{"127.0.0.1", 1};
   asio::io_context io_;
   Division division_;
+  int ready_ = 0;
   std::vector<std::function<void(CallAnswer)>> open_;
   CallRouter router_{&io_,
                      self_,
@@ -43,22 +49,20 @@
 // Guards against questions that are repeated in each round while they are open: an owner that is
 // slow was asked more the slower it was.
 TEST_CASE_METHOD(RunnerOwnersTest, "Reserve_QuestionIsOpen_IsNotAskedAgain") {
-  int ready = 0;
-  for (int round = 0; round < 5; ++round) owners_.Reserve(Machine("r1"), [&] { ++ready; });
-  owners_.Reserve(Machine("r2"), [&] { ++ready; });
+  for (int round = 0; round < 5; ++round) Reserve("r1");
+  Reserve("r2");
   CHECK(open_.size() == 2);
   AnswerAll(CallVerdict::kReady);
-  CHECK(ready == 2);
+  CHECK(ready_ == 2);
 }
 
 TEST_CASE_METHOD(RunnerOwnersTest, "Reserve_OwnerIsNotReady_IsAskedInTheNextRound") {
-  bool ready = false;
-  owners_.Reserve(Machine("r1"), [&] { ready = true; });
+  Reserve("r1");
   AnswerAll(CallVerdict::kNotReady);
-  CHECK_FALSE(ready);
-  owners_.Reserve(Machine("r1"), [&] { ready = true; });
+  CHECK(ready_ == 0);
+  Reserve("r1");
   AnswerAll(CallVerdict::kReady);
-  CHECK(ready);
+  CHECK(ready_ == 1);
 }
 
 TEST_CASE_METHOD(RunnerOwnersTest, "AskLoads_QuestionIsOpen_IsNotAskedAgain") {
