cells: the wait for a silent runner goes on through lost owners

Callers saw a lasting task away for 9.8 s and more (9 s is the most) when its runner fell silent and two owners of its cell were lost after it. Cause: an owner counted the wait for the leases of those before it from its own takeover; only an orderly handover passed the rest of the wait on.

An owner that has not heard from a runner 200 ms after its takeover now stores how long anything granted there may last yet, in the record that a handover uses, and again every 500 ms. Its successor waits for that at most. While such a record may stand in the store (stored, under way, or of unknown outcome) nothing is granted on the runner: no lease and no start until a record without it is stored. So whoever reads the record after fencing its writer knows that the writer granted nothing there, and a reader that dies before it writes leaves a record that still holds.

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -193,6 +193,8 @@
     if (runner.roster_batch != 0 && runner.roster_batch <= batch) runner.rostered = true;
   }
   if (handover_stands_ && handover_batch_ <= batch) handover_stands_ = false;
+  limits_.Confirm(batch);
+  NoteLimited();
   NoteEndsStored(time);
   schedule_wanted_ = true;
 }
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -24,6 +24,7 @@
 #include "cells/commit_queue.h"
 #include "cells/role_tenure.h"
 #include "cells/runner.h"
+#include "cells/standing_limits.h"
 #include "cells/unsettled_runners.h"
 #include "jobs/job_progress.h"
 #include "scheduling/arrival_meter.h"
@@ -67,7 +68,7 @@
   /// The store confirmed our ownership by a renewal sent `options.authority` before `until`.
   void ExtendAuthority(Instant until) { authority_until_ = std::max(authority_until_, until); }
 
-  /// From now on nothing is started or extended; what was decided is still stored.
+  /// From now on nothing is started or extended; what was decided is still stored. Called once.
   /// A record tells the successor how long leases may last, so that it need not assume the longest.
   /// `role_pause` is how long a successor must leave the role that goes with the cell alone.
   void PrepareHandover(std::chrono::milliseconds role_pause, CellTime time);
@@ -198,6 +199,11 @@
   void RestoreProgress(const std::string& key, const std::string& value, CellTime time);
   void RestoreRoster(const std::string& value, CellTime time);
   void RestoreHandover(const std::string& value, CellTime time);
+  bool IsSilent(const Runner& runner, Instant now) const;
+  std::int64_t LeaseLeft(const Runner& runner, Instant now) const;
+  void MaybeStoreLimits(CellTime time);
+  BatchNumber StoreLimits(StandingLimits::RunnerIds silent, Instant now);
+  void NoteLimited();
 
   Runner* FindRunner(RunnerKey key);
   Runner* AddRunner(const RunnerListing& listing, Instant now);
@@ -255,10 +261,13 @@
   const TenureToken token_;
   const CellOptions options_;
   Instant authority_until_{};
+  bool handing_over_ = false;
+  StandingLimits limits_;
+  Instant limits_put_at_{};
   bool handover_stands_ = false;  ///< A predecessor's record is still in the store ...
   Instant restored_at_{};
   std::optional<Instant> role_free_at_;
-  BatchNumber handover_batch_ = 0;  ///< ... until this batch, which removes it, is stored.
+  BatchNumber handover_batch_ = 0;  ///< ... until this batch, which replaces it, is stored.
   bool deposed_ = false;
 
   std::unordered_map<JobId, std::unique_ptr<JobEntry>> jobs_;
--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -60,6 +60,12 @@
   std::chrono::milliseconds schedule_retry{200};
   /// How long the state of a finished job is kept for callers (platform: status_s).
   std::chrono::milliseconds keep_finished{130'000};
+  /// A runner that has not answered for this long after a takeover is noted for the successor.
+  /// Sound ones answer in some milliseconds, and would have to wait for that record to be replaced.
+  std::chrono::milliseconds unsettled_notice{200};
+  /// Between records of silent runners: a successor that cannot tell how old the record is waits
+  /// for that much too long.
+  std::chrono::milliseconds limits_refresh{500};
   /// Longest time that a stopped task takes to go, a bound of the platform's.
   std::chrono::milliseconds stop_grace{900};
 
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -12,14 +12,26 @@
 namespace wigeonlane {
 namespace {
 
-/// What a successor may rely on, in milliseconds from the time of writing.
+/// Nothing was or will be granted on the runner that lasts longer, while the record stands.
+struct LeaseLimit {
+  std::int64_t left = 0;  ///< In milliseconds from the time of writing.
+  bool silent = false;    ///< The writer does not hear from it.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(left, silent);
+  }
+};
+
+/// What a successor may rely on.
 struct Handover {
-  std::map<std::string, std::int64_t> leases_left;  ///< By runner id.
-  std::int64_t role_pause = 0;
+  std::map<std::string, LeaseLimit> limits;  ///< By runner id.
+  /// In milliseconds from the time of writing; only of an owner that left in good order.
+  std::optional<std::int64_t> role_pause;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(leases_left, role_pause);
+    archive(limits, role_pause);
   }
 };
 
@@ -106,11 +118,9 @@
   Handover record;
   record.role_pause = role_pause.count();
   for (const auto& [key, runner] : runners_) {
-    Instant end = runner.lease_end;
-    if (unsettled_.contains(key)) end = std::max(end, runner.predecessor_end);
-    const auto lasts = std::chrono::ceil<std::chrono::milliseconds>(end - time.now);
-    record.leases_left[runner.listing.id] = std::max<std::int64_t>(lasts.count(), 0);
+    record.limits[runner.listing.id] = {LeaseLeft(runner, time.now), IsSilent(runner, time.now)};
   }
+  handing_over_ = true;
   commits_.Put(std::string(kHandoverKey), Encode(record));
 }
 
@@ -118,21 +128,73 @@
 /// at the latest. Runners that it does not name keep the longest bound.
 void Cell::RestoreHandover(const std::string& value, CellTime time) {
   const auto record = Decode<Handover>(value);
+  StandingLimits::RunnerIds named;
+  StandingLimits::RunnerIds silent;
   if (!record.ok()) {
     LogUnreadable(number_, std::string(kHandoverKey), MessageOf(record.status()));
   } else {
-    role_free_at_ = time.now + std::chrono::milliseconds(record->role_pause);
-    for (const auto& [id, millis] : record->leases_left) {
+    for (const auto& [id, limit] : record->limits) {
+      named.insert(id);
       const auto key = key_by_id_.find(id);
       if (key == key_by_id_.end()) continue;
       Runner& runner = runners_.at(key->second);
-      const Instant end = time.now + std::chrono::milliseconds(millis);
+      const Instant end = time.now + std::chrono::milliseconds(limit.left);
       runner.predecessor_end = std::min(runner.predecessor_end, end);
       runner.lease_end = std::min(runner.lease_end, end);
+      runner.silent_before = limit.silent;
+      if (limit.silent) silent.insert(id);
     }
   }
+  limits_.Restore(std::move(named));
+  NoteLimited();
+  if (record.ok() && !record->role_pause) return;
+  if (record.ok()) role_free_at_ = time.now + std::chrono::milliseconds(*record->role_pause);
   handover_stands_ = true;
-  handover_batch_ = commits_.Put(std::string(kHandoverKey), std::nullopt);
+  handover_batch_ = StoreLimits(std::move(silent), time.now);
+}
+
+/// A runner that answers is no longer unsettled.
+bool Cell::IsSilent(const Runner& runner, Instant now) const {
+  return unsettled_.contains(runner.key) &&
+         (runner.silent_before || now - restored_at_ >= options_.unsettled_notice);
+}
+
+/// How long anything may last that was granted on the runner, in milliseconds.
+std::int64_t Cell::LeaseLeft(const Runner& runner, Instant now) const {
+  Instant end = runner.lease_end;
+  if (unsettled_.contains(runner.key)) end = std::max(end, runner.predecessor_end);
+  const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - now);
+  return std::max<std::int64_t>(left.count(), 0);
+}
+
+/// Should we fall silent, our successor goes on with our waits for these runners.
+void Cell::MaybeStoreLimits(CellTime time) {
+  if (handing_over_ || (unsettled_.empty() && limits_.newest().empty())) return;
+  StandingLimits::RunnerIds silent;
+  for (const auto& [key, runner] : runners_) {
+    if (IsSilent(runner, time.now)) silent.insert(runner.listing.id);
+  }
+  const bool current = silent == limits_.newest() &&
+                       (silent.empty() || time.now - limits_put_at_ < options_.limits_refresh);
+  if (!current) StoreLimits(std::move(silent), time.now);
+}
+
+BatchNumber Cell::StoreLimits(StandingLimits::RunnerIds silent, Instant now) {
+  Handover record;
+  for (const std::string& id : silent) {
+    const Runner& runner = runners_.at(key_by_id_.at(id));
+    record.limits[id] = {LeaseLeft(runner, now), true};
+  }
+  const BatchNumber batch = commits_.Put(
+      std::string(kHandoverKey), silent.empty() ? std::nullopt : std::optional(Encode(record)));
+  limits_.Put(batch, std::move(silent));
+  limits_put_at_ = now;
+  NoteLimited();
+  return batch;
+}
+
+void Cell::NoteLimited() {
+  for (auto& [key, runner] : runners_) runner.limited = limits_.Contains(runner.listing.id);
 }
 
 }  // namespace wigeonlane
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -33,6 +33,7 @@
   runner.listing = listing;
   runner.next_look = now;
   key_by_id_[listing.id] = key;
+  runner.limited = limits_.Contains(listing.id);
   ForbidUnanswered(&runner, now);
   return &runner;
 }
@@ -196,6 +197,7 @@
     LoseRunner(key, "silent until its lease ended", time);
     if (listing) AddRunner(*listing, time.now);
   }
+  MaybeStoreLimits(time);
 }
 
 void Cell::AdvanceStops(Runner* runner, CellTime time) {
@@ -219,7 +221,7 @@
   look.forget_up_to = runner->stored_end;
   // A look that is not answered may extend the lease all the same. A silent runner is asked without
   // a lease, so that the one it has runs out and its tasks can be placed elsewhere.
-  if (runner->claimed && runner->looks_failed == 0 && HasAuthority(time.now)) {
+  if (runner->claimed && !runner->limited && runner->looks_failed == 0 && HasAuthority(time.now)) {
     look.lease = std::min(runner->EstimatedClock(time.now) + options_.lease,
                           runner->LatestDeadline(LeaseLimit(), options_));
     runner->GrantLease(*look.lease, options_);
--- a/cells/record_keys.h
+++ b/cells/record_keys.h
@@ -15,7 +15,8 @@
 /// Runners on which the owner may have started tasks.
 inline constexpr std::string_view kRosterKey = "roster";
 
-/// Left by an owner that handed the cell over in good order: how long its leases may last yet.
+/// How long leases may last yet: on all runners, by an owner that handed the cell over in good
+/// order; on those that it cannot hear, by any other.
 inline constexpr std::string_view kHandoverKey = "handover";
 
 /// The accepted job, written once.
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -52,10 +52,12 @@
   BatchNumber roster_batch = 0;  ///< ... once this batch is stored; 0 when it is in none.
   bool listed = true;            ///< Discovery names this life now.
 
-  RunnerClock clock{0};       ///< As last heard ...
-  Instant clock_at{};         ///< ... at this time.
-  Instant predecessor_end{};  ///< Nothing that a predecessor ordered lasts longer.
-  Instant lease_end{};        ///< Nothing runs there after this unless a lease is granted again.
+  RunnerClock clock{0};        ///< As last heard ...
+  Instant clock_at{};          ///< ... at this time.
+  Instant predecessor_end{};   ///< Nothing that a predecessor ordered lasts longer.
+  Instant lease_end{};         ///< Nothing runs there after this unless a lease is granted again.
+  bool silent_before = false;  ///< A predecessor noted that it is silent.
+  bool limited = false;        ///< The store may hold that nothing is granted there.
 
   bool looking = false;
   Instant next_look{};
@@ -112,8 +114,8 @@
   }
 
   bool AcceptsStarts(Instant now) const {
-    return claimed && rostered && listed && !listing.draining && now >= reserved_until &&
-           looks_failed == 0 && now >= blocked_until;
+    return claimed && rostered && listed && !limited && !listing.draining &&
+           now >= reserved_until && looks_failed == 0 && now >= blocked_until;
   }
 
   /// What would be free if only its lasting tasks ran.
--- a/tests/cells/cell_takeover_chain_test.cc
+++ b/tests/cells/cell_takeover_chain_test.cc
@@ -14,7 +14,13 @@
 /// Lasting: two tasks on runners of their own.
 constexpr std::size_t kLastingShape = 3;
 constexpr std::size_t kSound = 16;  ///< A fate without failures.
+/// Tasks that fill a runner each, one for every runner of the world.
+constexpr std::size_t kWideShape = 2;
+/// More than the runners that all owners reach can do in the time of a wait.
+constexpr std::size_t kWideJobs = 10;
 constexpr milliseconds kWarmUp{2'000};
+/// A lasting task may be away for this long (the platform's rule on lost tasks).
+constexpr milliseconds kLongestAway{9'000};
 /// Longer than any lease and any wait for one.
 constexpr milliseconds kLongCut{20'000};
 /// Until an owner has given up its first look at a silent runner (0.6 s) and stored what it knows.
@@ -53,7 +59,20 @@
     CheckNothingRanTwice();
   }
 
-  /// As before, and the second owner is frozen when the third begins.
+  /// The hosts answer the second owner shortly before its wait for them is over. It has tasks for
+  /// them, and the third begins at once.
+  void PlayMiddleStartsLate(milliseconds silent_for, milliseconds heard_for) {
+    CutHostsFromSuccessors();
+    world_.TakeOver(false);
+    for (std::size_t job = 0; job < kWideJobs; ++job) world_.Submit(kWideShape, kSound + job);
+    world_.Advance(silent_for);
+    CutHostsFromSuccessors();
+    world_.Advance(heard_for);
+    LoseOwners(1, kNoticed);
+    CheckNothingRanTwice();
+  }
+
+  /// The hosts answer late, and the second owner is frozen when the third begins.
   void PlayMiddleWakesAfterItsSuccessor(milliseconds heard_for, milliseconds frozen) {
     HostsAnswerSecondOwnerLate(heard_for, 0);
     world_.Freeze(frozen);
@@ -131,6 +150,21 @@
   }
 }
 
+// Guards against starts, which bring a lease along, while the store still says that there are none.
+TEST_CASE("Start_RunnerAnswersLateInTheWaitForIt_IsOverBeforeTheTaskStartsAgain") {
+  constexpr milliseconds kLongSilence{4'800};
+  constexpr milliseconds kSilenceStep{100};
+  constexpr milliseconds kLooks{900};  ///< A look that fails and the pause after it, and more.
+  constexpr milliseconds kStep{5};
+  for (milliseconds silent = kLongSilence; silent < CellOptions().lease_reach;
+       silent += kSilenceStep) {
+    for (milliseconds heard_for{0}; heard_for < kLooks; heard_for += kStep) {
+      CAPTURE(silent.count(), heard_for.count());
+      TakeoverChain(milliseconds(0)).PlayMiddleStartsLate(silent, heard_for);
+    }
+  }
+}
+
 // Guards against an owner that wakes with an answer of the store from before its successor began.
 TEST_CASE("Lease_OwnerWakesAfterItsSuccessorBegan_EndsBeforeTheTaskStartsAgain") {
   constexpr milliseconds kStep{10};
@@ -142,5 +176,25 @@
   }
 }
 
+// Guards against a wait for a silent runner that grows with each owner that is lost during it.
+TEST_CASE("LastingTask_ChainOfOwnersLostAfterItsRunner_RunsAgainInTime") {
+  const int losses = GENERATE(1, 2, 3);
+  const milliseconds gap(GENERATE(300, 700, 1'000, 1'500, 2'000));
+  CAPTURE(losses, gap.count());
+  CellWorld world;
+  world.Submit(kLastingShape, kSound);
+  world.Advance(kWarmUp);
+  REQUIRE(world.RunnersOf(0).size() == 2);
+  world.CrashRunner(world.RunnersOf(0).front());
+  for (int loss = 0; loss < losses; ++loss) {
+    world.Advance(gap);
+    world.TakeOver(true);
+  }
+  world.Advance(kLongestAway - losses * gap);
+  CHECK(world.RunnersOf(0).size() == 2);
+  INFO(world.broken());
+  CHECK(world.broken().empty());
+}
+
 }  // namespace
 }  // namespace wigeonlane
