--- a/tests/cells/cell_fuzz_test.cc
+++ b/tests/cells/cell_fuzz_test.cc
@@ -27,6 +27,10 @@
 WIGEONLANE_WORLD_COMMAND(CellWorld, CrashRunner, if (b < 32) world->CrashRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, RestartRunner, if (b < 32) world->RestartRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, CutRunner, world->CutRunner(a, milliseconds(150 * b)));
+WIGEONLANE_WORLD_COMMAND(CellWorld, CutFromSuccessors,
+                         world->CutRunnerFromSuccessors(a, milliseconds(150 * b)));
+WIGEONLANE_WORLD_COMMAND(CellWorld, LoseOwners,
+                         if (b < 24) world->LoseOwners(a % 5, milliseconds(10 * a), b % 2 == 0));
 WIGEONLANE_WORLD_COMMAND(CellWorld, DrainRunner, if (b < 8) world->DrainRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, ReserveRunner, if (b < 32) world->ReserveRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, LateOrders, world->LateOrders(a % 4));
@@ -39,10 +43,10 @@
     CellWorld world;
     rc::state::check(
         NoModel(), world,
-        rc::state::gen::execOneOfWithArgs<Submit, Submit, Submit, Repeat, Cancel, Step, Step, Wait,
-                                          Wait, TakeOver, HandOver, Freeze, CrashRunner,
-                                          RestartRunner, CutRunner, DrainRunner, ReserveRunner,
-                                          LateOrders, LoseAppendAnswers, StoreDown>());
+        rc::state::gen::execOneOfWithArgs<
+            Submit, Submit, Submit, Repeat, Cancel, Step, Step, Wait, Wait, TakeOver, HandOver,
+            Freeze, CrashRunner, RestartRunner, CutRunner, CutFromSuccessors, LoseOwners,
+            DrainRunner, ReserveRunner, LateOrders, LoseAppendAnswers, StoreDown>());
     world.SettleAndCheck();
     if (!world.broken().empty()) RC_FAIL(world.broken());
   }
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -445,6 +445,13 @@
   StartOwner(owners_.back()->token + kTokenStep);
 }
 
+void CellWorld::LoseOwners(std::size_t losses, milliseconds gap, bool killed) {
+  for (std::size_t loss = 0; loss < losses; ++loss) {
+    Advance(gap);
+    TakeOver(killed);
+  }
+}
+
 void CellWorld::HandOver() {
   const std::size_t index = owners_.size() - 1;
   if (owners_[index]->leaving) return;
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -40,6 +40,8 @@
   void KillOwner();
   /// Another instance takes the cell over. The former owner is killed, or goes on without renewals.
   void TakeOver(bool former_killed);
+  /// So many owners are lost one after the other, each after `gap`.
+  void LoseOwners(std::size_t losses, std::chrono::milliseconds gap, bool killed);
   /// The owner hands the cell over in good order; its successor begins once all is stored, or
   /// after the time that an instance waits for that.
   void HandOver();
