cells: an owner notes for its successor how long leases on a silent runner last

Callers saw a lasting task away for up to 11.9 s (9 s is the most) when its runner fell silent and the owner of its cell was lost 2 to 4.5 s after it. Cause: the owner extended nothing there any more, but its successor counted the longest lease from its own takeover.

A runner that fails to answer a look is noted as one that never answered since a takeover is.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -264,6 +264,7 @@
   bool handing_over_ = false;
   StandingLimits limits_;
   Instant limits_put_at_{};
+  Instant limits_over_at_{};      ///< By then all leases are over of which the newest record tells.
   bool handover_stands_ = false;  ///< A predecessor's record is still in the store ...
   Instant restored_at_{};
   std::optional<Instant> role_free_at_;
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -13,7 +13,7 @@
 namespace {
 
 /// Nothing was or will be granted on the runner that lasts longer, while the record stands.
-struct LeaseLimit {
+struct RunnerLimit {
   std::int64_t left = 0;  ///< In milliseconds from the time of writing.
   bool silent = false;    ///< The writer does not hear from it.
 
@@ -25,7 +25,7 @@
 
 /// What a successor may rely on.
 struct Handover {
-  std::map<std::string, LeaseLimit> limits;  ///< By runner id.
+  std::map<std::string, RunnerLimit> limits;  ///< By runner id.
   /// In milliseconds from the time of writing; only of an owner that left in good order.
   std::optional<std::int64_t> role_pause;
 
@@ -142,6 +142,7 @@
       runner.predecessor_end = std::min(runner.predecessor_end, end);
       runner.lease_end = std::min(runner.lease_end, end);
       runner.silent_before = limit.silent;
+      limits_over_at_ = std::max(limits_over_at_, end);
       if (limit.silent) silent.insert(id);
     }
   }
@@ -153,8 +154,9 @@
   handover_batch_ = StoreLimits(std::move(silent), time.now);
 }
 
-/// A runner that answers is no longer unsettled.
+/// Whether a successor should know how long leases on the runner may last yet.
 bool Cell::IsSilent(const Runner& runner, Instant now) const {
+  if (runner.claimed) return runner.looks_failed > 0;
   return unsettled_.contains(runner.key) &&
          (runner.silent_before || now - restored_at_ >= options_.unsettled_notice);
 }
@@ -169,21 +171,23 @@
 
 /// Should we fall silent, our successor goes on with our waits for these runners.
 void Cell::MaybeStoreLimits(CellTime time) {
-  if (handing_over_ || (unsettled_.empty() && limits_.newest().empty())) return;
+  if (handing_over_) return;
   StandingLimits::RunnerIds silent;
   for (const auto& [key, runner] : runners_) {
     if (IsSilent(runner, time.now)) silent.insert(runner.listing.id);
   }
-  const bool current = silent == limits_.newest() &&
-                       (silent.empty() || time.now - limits_put_at_ < options_.limits_refresh);
-  if (!current) StoreLimits(std::move(silent), time.now);
+  const bool outdated =
+      time.now - limits_put_at_ >= options_.limits_refresh && limits_put_at_ < limits_over_at_;
+  if (outdated || silent != limits_.newest()) StoreLimits(std::move(silent), time.now);
 }
 
 BatchNumber Cell::StoreLimits(StandingLimits::RunnerIds silent, Instant now) {
   Handover record;
+  limits_over_at_ = now;
   for (const std::string& id : silent) {
-    const Runner& runner = runners_.at(key_by_id_.at(id));
-    record.limits[id] = {LeaseLeft(runner, now), true};
+    const RunnerLimit limit{LeaseLeft(runners_.at(key_by_id_.at(id)), now), true};
+    limits_over_at_ = std::max(limits_over_at_, now + std::chrono::milliseconds(limit.left));
+    record.limits[id] = limit;
   }
   const BatchNumber batch = commits_.Put(
       std::string(kHandoverKey), silent.empty() ? std::nullopt : std::optional(Encode(record)));
--- a/tests/cells/cell_takeover_chain_test.cc
+++ b/tests/cells/cell_takeover_chain_test.cc
@@ -21,6 +21,9 @@
 constexpr milliseconds kWarmUp{2'000};
 /// A lasting task may be away for this long (the platform's rule on lost tasks).
 constexpr milliseconds kLongestAway{9'000};
+/// From the loss of an owner until its successor begins: the time to live of its membership (1 s),
+/// the period of the successor's renewals (0.25 s), and calls to the store.
+constexpr milliseconds kTakeover{1'600};
 /// Longer than any lease and any wait for one.
 constexpr milliseconds kLongCut{20'000};
 /// Until an owner has given up its first look at a silent runner (0.6 s) and stored what it knows.
@@ -59,6 +62,19 @@
     CheckNothingRanTwice();
   }
 
+  /// Nobody reaches the hosts for a while. They answer the first owner again from some time before
+  /// the second begins, which never reaches them. The store may be away for that time.
+  void PlayFirstGrantsAfterSilence(milliseconds silent_for, milliseconds heard_for,
+                                   bool store_away) {
+    for (const std::size_t host : hosts_) world_.CutRunner(host, silent_for);
+    world_.Advance(silent_for);
+    if (store_away) world_.StoreDown(heard_for);
+    world_.Advance(heard_for);
+    CutHostsFromSuccessors();
+    LoseOwners(2, kNoticed);
+    CheckNothingRanTwice();
+  }
+
   /// The hosts answer the second owner shortly before its wait for them is over. It has tasks for
   /// them, and the third begins at once.
   void PlayMiddleStartsLate(milliseconds silent_for, milliseconds heard_for) {
@@ -150,6 +166,18 @@
   }
 }
 
+// Guards against leases granted while the store still says that the runner was silent.
+TEST_CASE("Lease_RunnerAnswersItsOwnerAgain_IsWaitedForInFullBySuccessors") {
+  constexpr milliseconds kStep{10};
+  const milliseconds silent_for(GENERATE(700, 1'800, 3'000));
+  const bool store_away = GENERATE(false, true);
+  CAPTURE(silent_for.count(), store_away);
+  for (milliseconds heard_for{0}; heard_for < milliseconds(2'000); heard_for += kStep) {
+    CAPTURE(heard_for.count());
+    TakeoverChain(milliseconds(0)).PlayFirstGrantsAfterSilence(silent_for, heard_for, store_away);
+  }
+}
+
 // Guards against starts, which bring a lease along, while the store still says that there are none.
 TEST_CASE("Start_RunnerAnswersLateInTheWaitForIt_IsOverBeforeTheTaskStartsAgain") {
   constexpr milliseconds kLongSilence{4'800};
@@ -176,6 +204,28 @@
   }
 }
 
+// Guards against a successor that begins to wait for a runner of which the lost owner knew how long
+// its leases last.
+TEST_CASE("LastingTask_OwnerLostAfterItsRunner_RunsAgainInTime") {
+  constexpr milliseconds kStep{500};
+  for (milliseconds lost_after{0}; lost_after <= milliseconds(5'000); lost_after += kStep) {
+    CAPTURE(lost_after.count());
+    CellWorld world;
+    world.Submit(kLastingShape, kSound);
+    world.Advance(kWarmUp);
+    REQUIRE(world.RunnersOf(0).size() == 2);
+    world.CrashRunner(world.RunnersOf(0).front());
+    world.Advance(lost_after);
+    world.KillOwner();
+    world.Advance(kTakeover);
+    world.TakeOver(true);
+    world.Advance(kLongestAway - kTakeover - lost_after);
+    CHECK(world.RunnersOf(0).size() == 2);
+    INFO(world.broken());
+    CHECK(world.broken().empty());
+  }
+}
+
 // Guards against a wait for a silent runner that grows with each owner that is lost during it.
 TEST_CASE("LastingTask_ChainOfOwnersLostAfterItsRunner_RunsAgainInTime") {
   const int losses = GENERATE(1, 2, 3);
