cells: a successor counts a wait from the first owner that granted nothing

Callers saw a lasting task away for more than 9 s when its runner and owner fell silent together and the next owner was lost as well. Cause: the rest of a wait that an owner stores ages unseen until its successor reads it (the membership's time to live and up to 500 ms), so each loss made it longer.

The record now names, by runner, the token since which nothing was granted there, and each instance remembers when it first saw each generation of the group. Leases of owners before that token end lease_reach after its generation began, and that is before it was seen. So the wait no longer grows with the chain; an instance that saw nothing counts by the record alone.

What this rests on, and what keeps it true: - The first authority of a tenure counts from when the renewal was sent that dealt the cell out, no longer from when its answer was read. A record is trusted only if its writer saw the cell as its own in the generation before the reader's (or later); an owner that sees generations skipped counts the longest lease anew in what it stores. Handover records are trusted as before.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -25,6 +25,7 @@
 #include "cells/role_tenure.h"
 #include "cells/runner.h"
 #include "cells/standing_limits.h"
+#include "cells/tenure_watch.h"
 #include "cells/unsettled_runners.h"
 #include "jobs/job_progress.h"
 #include "scheduling/arrival_meter.h"
@@ -63,11 +64,15 @@
 
   /// Takes over what the partition held when it was fenced. Unreadable records are logged and
   /// left alone.
-  void Restore(const std::vector<StoreRecord>& records, CellTime time);
+  void Restore(const std::vector<StoreRecord>& records, CellTime time,
+               const TenureWatch& watch = TenureWatch());
 
   /// The store confirmed our ownership by a renewal sent `options.authority` before `until`.
   void ExtendAuthority(Instant until) { authority_until_ = std::max(authority_until_, until); }
 
+  /// The cell was ours in the generation of this token, the newest that was seen.
+  void NoteOwned(TenureToken owned_at, Instant now);
+
   /// From now on nothing is started or extended; what was decided is still stored. Called once.
   /// A record tells the successor how long leases may last, so that it need not assume the longest.
   /// `role_pause` is how long a successor must leave the role that goes with the cell alone.
@@ -198,9 +203,10 @@
   void RestoreJob(const std::string& key, const std::string& value, CellTime time);
   void RestoreProgress(const std::string& key, const std::string& value, CellTime time);
   void RestoreRoster(const std::string& value, CellTime time);
-  void RestoreHandover(const std::string& value, CellTime time);
+  void RestoreHandover(const std::string& value, const TenureWatch& watch, CellTime time);
   bool IsSilent(const Runner& runner, Instant now) const;
   std::int64_t LeaseLeft(const Runner& runner, Instant now) const;
+  TenureToken UntouchedSince(const Runner& runner) const;
   void MaybeStoreLimits(CellTime time);
   BatchNumber StoreLimits(StandingLimits::RunnerIds silent, Instant now);
   void NoteLimited();
@@ -262,6 +268,11 @@
   const CellOptions options_;
   Instant authority_until_{};
   bool handing_over_ = false;
+  TenureToken quiet_since_ = 0;  ///< See `TenureWatch`.
+  TenureToken step_ = 0;         ///< Likewise.
+  TenureToken owned_at_ = 0;
+  Instant others_over_at_{};  ///< Of owners that may have come and gone unseen in our tenure.
+  TenureToken limits_owned_at_ = 0;  ///< As the newest record says.
   StandingLimits limits_;
   Instant limits_put_at_{};
   Instant limits_over_at_{};      ///< By then all leases are over of which the newest record tells.
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -59,6 +59,16 @@
   const Cell* cell() const { return cell_.get(); }
   TenureToken token() const { return token_; }
 
+  /// To be called before `Start`.
+  void SetWatch(TenureWatch watch) { watch_ = std::move(watch); }
+
+  /// The cell was ours in the generation of this token.
+  void NoteOwned(TenureToken owned_at) {
+    if (released_) return;
+    owned_at_ = owned_at;
+    if (cell_ != nullptr) cell_->NoteOwned(owned_at, clock_->Now());
+  }
+
   void ExtendAuthority(Instant until) {
     if (released_) return;
     authority_ = std::max(authority_, until);
@@ -177,7 +187,8 @@
   void Open(const KeyedSnapshot& snapshot) {
     cell_ = std::make_unique<Cell>(number_, token_, options_);
     cell_->ExtendAuthority(authority_);
-    cell_->Restore(snapshot.records, Time());
+    cell_->Restore(snapshot.records, Time(), watch_);
+    cell_->NoteOwned(owned_at_, clock_->Now());
     cell_->SetRunners(listings_, Time());
     Pump();
   }
@@ -348,6 +359,8 @@
   std::unique_ptr<Cell> cell_;
   std::vector<RunnerListing> listings_;
   Instant authority_{};
+  TenureWatch watch_;
+  TenureToken owned_at_ = 0;
   AppendOrder append_;
   std::unordered_map<CallNumber, Answered> calls_;
   CallNumber last_call_ = 0;
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -16,22 +16,25 @@
 struct RunnerLimit {
   std::int64_t left = 0;  ///< In milliseconds from the time of writing.
   bool silent = false;    ///< The writer does not hear from it.
+  /// Nothing was granted there since the generation of this token began; 0 when that is not known.
+  TenureToken untouched_since = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(left, silent);
+    archive(left, silent, untouched_since);
   }
 };
 
 /// What a successor may rely on.
 struct Handover {
+  TenureToken owned_at = 0;  ///< The cell was the writer's in the generation of this token.
   std::map<std::string, RunnerLimit> limits;  ///< By runner id.
   /// In milliseconds from the time of writing; only of an owner that left in good order.
   std::optional<std::int64_t> role_pause;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(limits, role_pause);
+    archive(owned_at, limits, role_pause);
   }
 };
 
@@ -41,8 +44,12 @@
 
 }  // namespace
 
-void Cell::Restore(const std::vector<StoreRecord>& records, CellTime time) {
+void Cell::Restore(const std::vector<StoreRecord>& records, CellTime time,
+                   const TenureWatch& watch) {
   restored_at_ = time.now;
+  quiet_since_ = watch.quiet_since;
+  step_ = watch.step;
+  owned_at_ = token_;
   for (const StoreRecord& record : records) {
     if (record.value && record.key.starts_with(kJobPrefix)) {
       RestoreJob(record.key, *record.value, time);
@@ -54,7 +61,7 @@
     if (record.key == kRosterKey) RestoreRoster(*record.value, time);
   }
   for (const StoreRecord& record : records) {
-    if (record.value && record.key == kHandoverKey) RestoreHandover(*record.value, time);
+    if (record.value && record.key == kHandoverKey) RestoreHandover(*record.value, watch, time);
   }
   RankAllAgain();
   schedule_wanted_ = true;
@@ -116,9 +123,11 @@
 void Cell::PrepareHandover(std::chrono::milliseconds role_pause, CellTime time) {
   authority_until_ = Instant{};
   Handover record;
+  record.owned_at = owned_at_;
   record.role_pause = role_pause.count();
   for (const auto& [key, runner] : runners_) {
-    record.limits[runner.listing.id] = {LeaseLeft(runner, time.now), IsSilent(runner, time.now)};
+    record.limits[runner.listing.id] = {LeaseLeft(runner, time.now), IsSilent(runner, time.now),
+                                        UntouchedSince(runner)};
   }
   handing_over_ = true;
   commits_.Put(std::string(kHandoverKey), Encode(record));
@@ -126,24 +135,31 @@
 
 /// The predecessor wrote the record before we were dealt the cell, so that its times count from now
 /// at the latest. Runners that it does not name keep the longest bound.
-void Cell::RestoreHandover(const std::string& value, CellTime time) {
+void Cell::RestoreHandover(const std::string& value, const TenureWatch& watch, CellTime time) {
   const auto record = Decode<Handover>(value);
   StandingLimits::RunnerIds named;
   StandingLimits::RunnerIds silent;
   if (!record.ok()) {
     LogUnreadable(number_, std::string(kHandoverKey), MessageOf(record.status()));
   } else {
+    const bool follows = watch.Follows(record->owned_at);
     for (const auto& [id, limit] : record->limits) {
       named.insert(id);
       const auto key = key_by_id_.find(id);
       if (key == key_by_id_.end()) continue;
       Runner& runner = runners_.at(key->second);
-      const Instant end = time.now + std::chrono::milliseconds(limit.left);
+      runner.silent_before = limit.silent;
+      if (limit.silent) silent.insert(id);
+      if (!follows && !record->role_pause) continue;
+      Instant end = time.now + std::chrono::milliseconds(limit.left);
+      const TenureToken untouched_since = follows ? limit.untouched_since : 0;
+      const auto begun =
+          untouched_since == 0 ? std::optional<Instant>() : watch.begun_by(untouched_since);
+      if (begun) end = std::min(end, *begun + options_.lease_reach);
       runner.predecessor_end = std::min(runner.predecessor_end, end);
       runner.lease_end = std::min(runner.lease_end, end);
-      runner.silent_before = limit.silent;
+      runner.untouched_since = untouched_since;
       limits_over_at_ = std::max(limits_over_at_, end);
-      if (limit.silent) silent.insert(id);
     }
   }
   limits_.Restore(std::move(named));
@@ -169,6 +185,23 @@
   return std::max<std::int64_t>(left.count(), 0);
 }
 
+/// Renewals do not show owners in generations that were skipped: a former one may have renewed then
+/// without having read that we have the cell.
+void Cell::NoteOwned(TenureToken owned_at, Instant now) {
+  const bool skipped = owned_at > owned_at_ + step_;
+  owned_at_ = std::max(owned_at_, owned_at);
+  if (!skipped) return;
+  others_over_at_ = now + options_.lease_reach;
+  quiet_since_ = quiet_since_ == 0 ? 0 : owned_at_;
+  for (auto& [key, runner] : runners_) runner.untouched_since = 0;
+}
+
+/// An owner grants nothing on a runner that has not answered it.
+TenureToken Cell::UntouchedSince(const Runner& runner) const {
+  if (!unsettled_.contains(runner.key)) return 0;
+  return runner.untouched_since != 0 ? runner.untouched_since : quiet_since_;
+}
+
 /// Should we fall silent, our successor goes on with our waits for these runners.
 void Cell::MaybeStoreLimits(CellTime time) {
   if (handing_over_) return;
@@ -176,16 +209,21 @@
   for (const auto& [key, runner] : runners_) {
     if (IsSilent(runner, time.now)) silent.insert(runner.listing.id);
   }
-  const bool outdated =
+  const bool aged =
       time.now - limits_put_at_ >= options_.limits_refresh && limits_put_at_ < limits_over_at_;
+  const bool outdated = aged || (!silent.empty() && limits_owned_at_ != owned_at_);
   if (outdated || silent != limits_.newest()) StoreLimits(std::move(silent), time.now);
 }
 
 BatchNumber Cell::StoreLimits(StandingLimits::RunnerIds silent, Instant now) {
   Handover record;
+  record.owned_at = limits_owned_at_ = owned_at_;
   limits_over_at_ = now;
   for (const std::string& id : silent) {
-    const RunnerLimit limit{LeaseLeft(runners_.at(key_by_id_.at(id)), now), true};
+    const Runner& runner = runners_.at(key_by_id_.at(id));
+    const auto others = std::chrono::ceil<std::chrono::milliseconds>(others_over_at_ - now);
+    const std::int64_t left = std::max<std::int64_t>(LeaseLeft(runner, now), others.count());
+    const RunnerLimit limit{left, true, UntouchedSince(runner)};
     limits_over_at_ = std::max(limits_over_at_, now + std::chrono::milliseconds(limit.left));
     record.limits[id] = limit;
   }
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -129,6 +129,8 @@
   /// again, under a higher token, with the next generation.
   void Reclaim(CellNumber cell, TenureToken token) {
     if (held_.contains(cell) && TokenOf(cell) > token) {
+      // The tenure that ended may have been renewed in this generation.
+      reclaimed_.insert(TokenOf(cell));
       events_.gained(cell, TokenOf(cell));
     } else if (held_.contains(cell)) {
       reclaim_[cell] = token;
@@ -138,6 +140,24 @@
 
   std::uint64_t generation() const { return generation_; }
 
+  /// What the token of a tenure of the cell would be that began in the newest generation.
+  TenureToken TokenNow(CellNumber cell) const { return TokenOf(cell); }
+
+  /// When the last renewal that was confirmed was sent.
+  Instant renewed_at() const { return renewed_at_; }
+
+  /// A time by which the generation of the token had begun; nothing when none was seen since.
+  std::optional<Instant> BegunBy(TenureToken token) const {
+    const auto seen = seen_.lower_bound(token / options_.cells);
+    return seen == seen_.end() ? std::nullopt : std::optional(seen->second);
+  }
+
+  /// For our tenure under `token`: no former owner's renewal was confirmed in the generation of the
+  /// token returned, nor later.
+  TenureToken QuietSince(TenureToken token) const {
+    return reclaimed_.contains(token) ? token + options_.cells : token;
+  }
+
   /// Longest time in reach of the store that a lost cell is kept from its next owner while its
   /// release is under way. An append waits for 2 s at most in the queue of its partition (the
   /// platform's page on its store), and its answer may be lost once (a call ends after 1 s).
@@ -149,6 +169,8 @@
   }
 
  private:
+  /// More than change hands within a wait for leases.
+  static constexpr std::size_t kGenerationsKept = 256;
   /// Renewals in one time to live, so that two may be lost.
   static constexpr int kRenewalsPerTtl = 4;
   static constexpr std::chrono::milliseconds kRejoinRetry{200};
@@ -320,6 +342,12 @@
   /// Unique among all tenures of all cells, and higher than any before of this cell.
   TenureToken TokenOf(CellNumber cell) const { return generation_ * options_.cells + cell; }
 
+  /// Without the oldest the next one answers, which is later.
+  void NoteGeneration(std::uint64_t generation) {
+    seen_.try_emplace(generation, clock_->Now());
+    if (seen_.size() > kGenerationsKept) seen_.erase(seen_.begin());
+  }
+
   void Take(const GroupView& view, Instant sent) {
     if (!std::exchange(reachable_, true)) LogInfo("store_regained", {});
     const bool changed = view.generation != generation_;
@@ -328,6 +356,7 @@
     const bool lapsed = changed && sent - renewed_at_ > options_.member.ttl;
     DropOverdueLosses(sent);
     renewed_at_ = sent;
+    NoteGeneration(view.generation);
     const std::uint64_t before = std::exchange(generation_, view.generation);
     if (lapsed) Lose(std::exchange(held_, {}), before);
     std::set<CellNumber> now(view.parts.begin(), view.parts.end());
@@ -363,7 +392,9 @@
   const OwnershipEvents events_;
   asio::steady_timer timer_;
   std::uint64_t generation_ = 0;
-  Instant renewed_at_{};  ///< When the last renewal that was confirmed was sent.
+  Instant renewed_at_{};                   ///< When the last renewal that was confirmed was sent.
+  std::map<std::uint64_t, Instant> seen_;  ///< When a generation was seen first.
+  std::set<TenureToken> reclaimed_;        ///< Tenures that began amid a generation.
   std::set<CellNumber> held_;
   std::map<std::uint64_t, Loss> losses_;  ///< Not released yet, oldest first.
   std::uint64_t last_loss_ = 0;
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -56,8 +56,10 @@
   Instant clock_at{};          ///< ... at this time.
   Instant predecessor_end{};   ///< Nothing that a predecessor ordered lasts longer.
   Instant lease_end{};         ///< Nothing runs there after this unless a lease is granted again.
-  bool silent_before = false;  ///< A predecessor noted that it is silent.
-  bool limited = false;        ///< The store may hold that nothing is granted there.
+  bool silent_before = false;  ///< A predecessor noted that it is silent ...
+  /// ... and that no owner of this token or a later one granted anything there; 0 when some may.
+  TenureToken untouched_since = 0;
+  bool limited = false;  ///< The store may hold that nothing is granted there.
 
   bool looking = false;
   Instant next_look{};
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -193,7 +193,10 @@
 
 void JobInstance::TakeRenewal(Instant sent) {
   const Instant until = sent + settings_.cell.authority;
-  for (const auto& [cell, host] : cells_.hosts()) host->ExtendAuthority(until);
+  for (const auto& [cell, host] : cells_.hosts()) {
+    host->NoteOwned(ownership_.TokenNow(cell));
+    host->ExtendAuthority(until);
+  }
   if (coordinator_ != nullptr) coordinator_->ExtendAuthority(sent + kMachineAuthority);
 }
 
@@ -223,7 +226,10 @@
 std::unique_ptr<JobInstance::Host> JobInstance::MakeHost(CellNumber cell, TenureToken token) {
   auto host =
       std::make_unique<Host>(&io_, &store_, &runners_, &clock_, cell, token, settings_.cell);
-  host->ExtendAuthority(clock_.Now() + settings_.cell.authority);
+  host->SetWatch({ownership_.QuietSince(token), settings_.partitions,
+                  [this](TenureToken earlier) { return ownership_.BegunBy(earlier); }});
+  // The answer that dealt the cell to us may have been read late.
+  host->ExtendAuthority(ownership_.renewed_at() + settings_.cell.authority);
   GiveRunners(cell, host.get());
   return host;
 }
--- a/tests/cells/cell_fuzz_test.cc
+++ b/tests/cells/cell_fuzz_test.cc
@@ -31,6 +31,8 @@
                          world->CutRunnerFromSuccessors(a, milliseconds(150 * b)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, LoseOwners,
                          if (b < 24) world->LoseOwners(a % 5, milliseconds(10 * a), b % 2 == 0));
+WIGEONLANE_WORLD_COMMAND(CellWorld, ChangeGroup, world->ChangeGroup(a % 3));
+WIGEONLANE_WORLD_COMMAND(CellWorld, WatchTenures, world->WatchTenures(milliseconds(2 * a)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, DrainRunner, if (b < 8) world->DrainRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, ReserveRunner, if (b < 32) world->ReserveRunner(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, LateOrders, world->LateOrders(a % 4));
@@ -43,10 +45,11 @@
     CellWorld world;
     rc::state::check(
         NoModel(), world,
-        rc::state::gen::execOneOfWithArgs<
-            Submit, Submit, Submit, Repeat, Cancel, Step, Step, Wait, Wait, TakeOver, HandOver,
-            Freeze, CrashRunner, RestartRunner, CutRunner, CutFromSuccessors, LoseOwners,
-            DrainRunner, ReserveRunner, LateOrders, LoseAppendAnswers, StoreDown>());
+        rc::state::gen::execOneOfWithArgs<Submit, Submit, Submit, Repeat, Cancel, Step, Step, Wait,
+                                          Wait, TakeOver, HandOver, Freeze, CrashRunner,
+                                          RestartRunner, CutRunner, CutFromSuccessors, LoseOwners,
+                                          ChangeGroup, WatchTenures, DrainRunner, ReserveRunner,
+                                          LateOrders, LoseAppendAnswers, StoreDown>());
     world.SettleAndCheck();
     if (!world.broken().empty()) RC_FAIL(world.broken());
   }
--- a/tests/cells/cell_takeover_chain_test.cc
+++ b/tests/cells/cell_takeover_chain_test.cc
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstddef>
+#include <optional>
 #include <vector>
 
 #include "tests/cells/cell_world.h"
@@ -88,6 +89,28 @@
     CheckNothingRanTwice();
   }
 
+  /// The second owner is dealt the cell but gets to read it only after the third was dealt it. The
+  /// third and later ones never reach the hosts.
+  void PlayMiddleReadsLate(milliseconds store_away, milliseconds third_after) {
+    world_.StoreDown(store_away);
+    world_.TakeOver(false);
+    CutHostsFromSuccessors();
+    world_.Advance(third_after);
+    LoseOwners(3, kNoticed);
+    CheckNothingRanTwice();
+  }
+
+  /// The first owner is dealt the cell again without having noticed that it was lost.
+  void PlayFirstGoesOn(milliseconds lost_for, milliseconds held_again, int losses_after) {
+    CutHostsFromSuccessors();
+    world_.TakeOver(false);
+    world_.Advance(lost_for);
+    world_.DealBack();
+    world_.Advance(held_again);
+    LoseOwners(losses_after, kNoticed);
+    CheckNothingRanTwice();
+  }
+
   /// The hosts answer late, and the second owner is frozen when the third begins.
   void PlayMiddleWakesAfterItsSuccessor(milliseconds heard_for, milliseconds frozen) {
     HostsAnswerSecondOwnerLate(heard_for, 0);
@@ -193,6 +216,29 @@
   }
 }
 
+// Guards against counting from a tenure that began before its predecessor granted its last leases.
+TEST_CASE("Lease_OwnerReadsAfterItsSuccessorWasDealtTheCell_EndsBeforeTheTaskStartsAgain") {
+  constexpr milliseconds kStep{10};
+  const milliseconds third_after(GENERATE(130, 550, 970));
+  CAPTURE(third_after.count());
+  for (milliseconds away = third_after; away < milliseconds(2'500); away += kStep) {
+    CAPTURE(away.count());
+    TakeoverChain(milliseconds(0)).PlayMiddleReadsLate(away, third_after);
+  }
+}
+
+// Guards against trust in what an owner in between stored when a former one went on after it.
+TEST_CASE("Lease_FormerOwnerGoesOnAfterAnUnseenLoss_EndsBeforeTheTaskStartsAgain") {
+  constexpr milliseconds kStep{50};
+  const milliseconds lost_for(GENERATE(50, 300, 700, 1'000));
+  const int losses = GENERATE(1, 2);
+  CAPTURE(lost_for.count(), losses);
+  for (milliseconds held_again{0}; held_again < milliseconds(6'000); held_again += kStep) {
+    CAPTURE(held_again.count());
+    TakeoverChain(milliseconds(0)).PlayFirstGoesOn(lost_for, held_again, losses);
+  }
+}
+
 // Guards against an owner that wakes with an answer of the store from before its successor began.
 TEST_CASE("Lease_OwnerWakesAfterItsSuccessorBegan_EndsBeforeTheTaskStartsAgain") {
   constexpr milliseconds kStep{10};
@@ -204,46 +250,148 @@
   }
 }
 
+/// Owners lost one after the other after a lasting task's runner.
+class SilentRunnerChain {
+ public:
+  explicit SilentRunnerChain(std::optional<milliseconds> seen_late) {
+    world_.Submit(kLastingShape, kSound);
+    world_.Advance(kWarmUp);
+    REQUIRE(world_.RunnersOf(0).size() == 2);
+    world_.WatchTenures(seen_late);
+    world_.CrashRunner(world_.RunnersOf(0).front());
+  }
+
+  void LoseOwner(milliseconds after, milliseconds without_owner) {
+    world_.Advance(after);
+    world_.KillOwner();
+    world_.Advance(without_owner);
+    world_.TakeOver(true);
+    gone_ += after + without_owner;
+  }
+
+  void CheckTaskIsBackInTime() {
+    REQUIRE(gone_ < kLongestAway);
+    world_.Advance(kLongestAway - gone_);
+    CHECK(world_.RunnersOf(0).size() == 2);
+    INFO(world_.broken());
+    CHECK(world_.broken().empty());
+  }
+
+ private:
+  CellWorld world_;
+  milliseconds gone_{0};
+};
+
+/// Between renewals of an instance, by which it sees changes late, and more.
+constexpr milliseconds kRenewals{500};
+
 // Guards against a successor that begins to wait for a runner of which the lost owner knew how long
 // its leases last.
 TEST_CASE("LastingTask_OwnerLostAfterItsRunner_RunsAgainInTime") {
   constexpr milliseconds kStep{500};
   for (milliseconds lost_after{0}; lost_after <= milliseconds(5'000); lost_after += kStep) {
     CAPTURE(lost_after.count());
-    CellWorld world;
-    world.Submit(kLastingShape, kSound);
-    world.Advance(kWarmUp);
-    REQUIRE(world.RunnersOf(0).size() == 2);
-    world.CrashRunner(world.RunnersOf(0).front());
-    world.Advance(lost_after);
-    world.KillOwner();
-    world.Advance(kTakeover);
-    world.TakeOver(true);
-    world.Advance(kLongestAway - kTakeover - lost_after);
-    CHECK(world.RunnersOf(0).size() == 2);
-    INFO(world.broken());
-    CHECK(world.broken().empty());
+    SilentRunnerChain chain(kRenewals);
+    chain.LoseOwner(lost_after, kTakeover);
+    chain.CheckTaskIsBackInTime();
   }
 }
 
 // Guards against a wait for a silent runner that grows with each owner that is lost during it.
 TEST_CASE("LastingTask_ChainOfOwnersLostAfterItsRunner_RunsAgainInTime") {
-  const int losses = GENERATE(1, 2, 3);
+  const int losses = GENERATE(1, 2, 3, 4);
+  const milliseconds gap(GENERATE(300, 700, 1'000, 1'500, 2'000));
+  const milliseconds seen_late(GENERATE(0, 500));
+  CAPTURE(losses, gap.count(), seen_late.count());
+  SilentRunnerChain chain(seen_late);
+  for (int loss = 0; loss < losses; ++loss) chain.LoseOwner(gap, milliseconds(0));
+  chain.CheckTaskIsBackInTime();
+}
+
+// Guards against the same when no successor has seen the tenures before its own: each link may add
+// the age of the record.
+TEST_CASE("LastingTask_ChainOfOwnersLostToNewInstances_RunsAgainInTime") {
+  const int losses = GENERATE(1, 2, 3, 4);
   const milliseconds gap(GENERATE(300, 700, 1'000, 1'500, 2'000));
   CAPTURE(losses, gap.count());
-  CellWorld world;
-  world.Submit(kLastingShape, kSound);
-  world.Advance(kWarmUp);
-  REQUIRE(world.RunnersOf(0).size() == 2);
-  world.CrashRunner(world.RunnersOf(0).front());
-  for (int loss = 0; loss < losses; ++loss) {
-    world.Advance(gap);
-    world.TakeOver(true);
-  }
-  world.Advance(kLongestAway - losses * gap);
-  CHECK(world.RunnersOf(0).size() == 2);
-  INFO(world.broken());
-  CHECK(world.broken().empty());
+  SilentRunnerChain chain(std::nullopt);
+  for (int loss = 0; loss < losses; ++loss) chain.LoseOwner(gap, milliseconds(0));
+  chain.CheckTaskIsBackInTime();
+}
+
+// Guards against adding the time without an owner to the wait with each loss.
+TEST_CASE("LastingTask_OwnerLostWithItsRunnerAndOthersAfterThem_RunsAgainInTime") {
+  const int more_losses = GENERATE(0, 1, 2);
+  const milliseconds held(GENERATE(300, 700, 1'000, 1'400));
+  CAPTURE(more_losses, held.count());
+  SilentRunnerChain chain(kRenewals);
+  chain.LoseOwner(milliseconds(0), kTakeover);
+  for (int loss = 0; loss < more_losses; ++loss) chain.LoseOwner(held, kTakeover);
+  chain.CheckTaskIsBackInTime();
+}
+
+/// A lasting task's runner falls silent and its owner is lost, and the second owner after that.
+class DoubtfulChainTest {
+ protected:
+  static constexpr milliseconds kHeld{2'000};
+  /// More than a look that fails and the next round of placing.
+  static constexpr milliseconds kMargin{1'500};
+
+  DoubtfulChainTest() {
+    world_.Submit(kLastingShape, kSound);
+    world_.Advance(kWarmUp);
+    REQUIRE(world_.RunnersOf(0).size() == 2);
+    world_.CrashRunner(world_.RunnersOf(0).front());
+    world_.KillOwner();
+    world_.TakeOver(true);
+  }
+
+  void LoseSecondOwner() {
+    world_.KillOwner();
+    world_.TakeOver(true);
+  }
+
+  void CheckTaskIsBackAfter(milliseconds wait) {
+    world_.Advance(wait - milliseconds(100));
+    CHECK(world_.RunnersOf(0).size() == 1);
+    world_.Advance(kMargin);
+    CHECK(world_.RunnersOf(0).size() == 2);
+  }
+
+  CellWorld world_;
+};
+
+TEST_CASE_METHOD(DoubtfulChainTest, "Wait_OwnerInBetweenGrantedNothing_IsNotBegunAnew") {
+  world_.Advance(kHeld);
+  LoseSecondOwner();
+  CheckTaskIsBackAfter(CellOptions().lease_reach - kHeld);
+}
+
+TEST_CASE_METHOD(DoubtfulChainTest, "Wait_OwnerSawAnotherChangeOfTheGroup_IsNotBegunAnew") {
+  world_.Advance(kHeld / 2);
+  world_.ChangeGroup(1);
+  world_.Advance(kHeld / 2);
+  LoseSecondOwner();
+  CheckTaskIsBackAfter(CellOptions().lease_reach - kHeld);
+}
+
+// Guards against a former owner that was dealt the cell again between two renewals and went on: it
+// has not read that its leases are waited for no longer.
+TEST_CASE_METHOD(DoubtfulChainTest, "Wait_GroupChangedUnseenAfterTheOwner_IsBegunAnew") {
+  world_.Advance(kHeld);
+  world_.KillOwner();
+  world_.ChangeGroup(1);
+  LoseSecondOwner();
+  CheckTaskIsBackAfter(CellOptions().lease_reach);
+}
+
+TEST_CASE_METHOD(DoubtfulChainTest,
+                 "Wait_OwnerMissedAChangeOfTheGroup_IsCountedFromWhenItSawThat") {
+  world_.Advance(kHeld / 2);
+  world_.ChangeGroup(2);
+  world_.Advance(kHeld / 2);
+  LoseSecondOwner();
+  CheckTaskIsBackAfter(CellOptions().lease_reach - kHeld / 2);
 }
 
 }  // namespace
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -134,9 +134,12 @@
 
 void CellWorld::StartOwner(TenureToken token) {
   auto owner = std::make_unique<Owner>();
-  owner->token = token;
+  owner->token = generation_ = token;
+  owner->dealt = now_;
+  owner->seen_late = seen_late_;
   owners_.push_back(std::move(owner));
   const std::size_t index = owners_.size() - 1;
+  holder_ = index;
   Restore(index);
   Renew(index);
 }
@@ -152,14 +155,30 @@
     std::vector<StoreRecord> records;
     for (const auto& [key, value] : store_.records) records.push_back({key, value});
     owner->cell = std::make_unique<Cell>(0, owner->token, CellOptions());
-    owner->cell->ExtendAuthority(now_ + CellOptions().authority);
-    owner->cell->Restore(records, Time());
+    owner->cell->ExtendAuthority(owner->dealt + CellOptions().authority);
+    owner->cell->Restore(records, Time(), WatchOf(index));
     owner->listed.clear();
     TellListings(owner);
     Pump(index);
   });
 }
 
+TenureWatch CellWorld::WatchOf(std::size_t index) const {
+  const auto seen_late = owners_[index]->seen_late;
+  TenureWatch watch;
+  watch.quiet_since = owners_[index]->token;
+  watch.step = kTokenStep;
+  watch.begun_by = [this, seen_late](TenureToken token) -> std::optional<Instant> {
+    for (const auto& owner : owners_) {
+      if (owner->token < token || !seen_late) continue;
+      const Instant seen = owner->dealt + *seen_late;
+      return seen > now_ ? std::nullopt : std::optional(seen);
+    }
+    return {};
+  };
+  return watch;
+}
+
 /// Discovery tells of changes only.
 void CellWorld::TellListings(Owner* owner) {
   auto listings = Listings();
@@ -168,11 +187,11 @@
   owner->cell->SetRunners(listings, Time());
 }
 
-/// Only the newest owner's renewals are confirmed.
+/// Only the renewals of whoever the group deals the cell to are confirmed.
 void CellWorld::Renew(std::size_t index) {
   OnOwner(index, [this, index](Owner* owner) {
-    const bool newest = index + 1 == owners_.size() && !owner->leaving;
-    if (newest && now_ >= store_.down_until && owner->cell != nullptr) {
+    const bool confirmed = index == holder_ && !owner->leaving;
+    if (confirmed && now_ >= store_.down_until && owner->cell != nullptr) {
       owner->cell->ExtendAuthority(now_ + CellOptions().authority);
       TellListings(owner);
       Pump(index);
@@ -442,7 +461,20 @@
 
 void CellWorld::TakeOver(bool former_killed) {
   if (former_killed) KillOwner();
-  StartOwner(owners_.back()->token + kTokenStep);
+  StartOwner(generation_ + kTokenStep);
+}
+
+void CellWorld::DealBack() {
+  KillOwner();
+  holder_ = owners_.size() - 2;
+  ChangeGroup(1);
+}
+
+void CellWorld::ChangeGroup(std::uint64_t changes) {
+  generation_ += changes * kTokenStep;
+  OnOwner(holder_, [this](Owner* owner) {
+    if (owner->cell != nullptr) owner->cell->NoteOwned(generation_, now_);
+  });
 }
 
 void CellWorld::LoseOwners(std::size_t losses, milliseconds gap, bool killed) {
@@ -467,7 +499,7 @@
 void CellWorld::FinishHandOver(std::size_t index, Instant until) {
   if (index + 1 != owners_.size()) return;  // Another has taken the cell over meanwhile.
   if (owners_[index]->cell->flushed() || now_ >= until) {
-    return StartOwner(owners_[index]->token + kTokenStep);
+    return StartOwner(generation_ + kTokenStep);
   }
   After(milliseconds(5), [this, index, until] { FinishHandOver(index, until); });
 }
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -38,6 +38,14 @@
 
   /// The owner ends without a word. Nobody owns the cell until it is taken over.
   void KillOwner();
+  /// So many changes of the group that leave the cell where it is; its owner sees them at once.
+  void ChangeGroup(std::uint64_t changes);
+  /// The owner ends, and the group deals the cell back to the one before, which has not renewed
+  /// since and does not know that it ever lost the cell.
+  void DealBack();
+  /// Owners that begin from now on saw each tenure begin this late; with nothing they are new and
+  /// have seen none. At once unless this is called.
+  void WatchTenures(std::optional<std::chrono::milliseconds> late) { seen_late_ = late; }
   /// Another instance takes the cell over. The former owner is killed, or goes on without renewals.
   void TakeOver(bool former_killed);
   /// So many owners are lost one after the other, each after `gap`.
@@ -76,8 +84,10 @@
     std::unique_ptr<Cell> cell;
     TenureToken token = 0;
     bool alive = true;
-    bool leaving = false;               ///< Its authority was given up.
-    std::vector<RunnerListing> listed;  ///< As it was told last.
+    bool leaving = false;                                ///< Its authority was given up.
+    Instant dealt{};                                     ///< When it was given the cell.
+    std::optional<std::chrono::milliseconds> seen_late;  ///< See `WatchTenures`.
+    std::vector<RunnerListing> listed;                   ///< As it was told last.
     Instant frozen_until{};
     Instant next_wake{};  ///< Of the pending wake-up; in the past when there is none.
     std::map<CallNumber, JobId> submits;
@@ -119,6 +129,7 @@
   void StartOwner(TenureToken token);
   void FinishHandOver(std::size_t owner, Instant until);
   void Restore(std::size_t owner);
+  TenureWatch WatchOf(std::size_t owner) const;
   void Renew(std::size_t owner);
   void TellListings(Owner* owner);
   void Pump(std::size_t index);
@@ -148,6 +159,9 @@
   std::map<std::pair<std::size_t, std::size_t>, std::chrono::milliseconds> connections_;
   /// The same for starts, by owner and runner id.
   std::map<std::pair<std::size_t, std::string>, std::chrono::milliseconds> order_connections_;
+  std::optional<std::chrono::milliseconds> seen_late_{0};
+  std::size_t holder_ = 0;      ///< The owner whose renewals are confirmed.
+  TenureToken generation_ = 0;  ///< The token of an owner that would begin in it.
   std::size_t late_orders_ = 0;
   std::size_t lost_appends_ = 0;
   std::uint64_t mix_ = 1;  ///< Varies latencies deterministically.
--- a/tests/cells/ownership_test.cc
+++ b/tests/cells/ownership_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <deque>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -19,6 +20,7 @@
     if (views.empty()) return done(absl::UnavailableError("down"));
     GroupView view = views.front();
     views.pop_front();
+    before_answer();
     done(std::move(view));
   }
   void Leave(const std::string&, const std::string& member,
@@ -36,6 +38,7 @@
   std::deque<GroupView> views;
   int leaves = 0;
   std::vector<std::string> left;
+  std::function<void()> before_answer = [] {};
 };
 
 class OwnershipTest {
@@ -127,6 +130,70 @@
   CHECK(gained_[1].second == 5 * kCells);
 }
 
+// Guards against waits for leases that are counted from before a tenure had begun.
+TEST_CASE_METHOD(OwnershipTest, "BegunBy_GenerationsWereSeen_IsWhenThatOrALaterOneWasSeenFirst") {
+  group_.views = {{3, {0}}, {3, {0}}, {7, {0}}};
+  ownership_->Start();
+  const Instant first = clock_.Now();
+  clock_.Advance(milliseconds(300));
+  ownership_->RenewNow();
+  clock_.Advance(milliseconds(300));
+  ownership_->RenewNow();
+  CHECK(ownership_->BegunBy(2 * kCells) == first);
+  CHECK(ownership_->BegunBy(3 * kCells + 1) == first);
+  CHECK(ownership_->BegunBy(4 * kCells + 1) == clock_.Now());
+  CHECK(ownership_->BegunBy(7 * kCells + kCells - 1) == clock_.Now());
+  CHECK_FALSE(ownership_->BegunBy(8 * kCells));
+}
+
+TEST_CASE_METHOD(OwnershipTest, "BegunBy_ManyGenerationsSince_IsNotTooEarly") {
+  constexpr std::uint64_t kGenerations = 1'000;
+  ownership_->Start();
+  std::vector<Instant> seen(kGenerations + 1);
+  for (std::uint64_t generation = 1; generation <= kGenerations; ++generation) {
+    clock_.Advance(milliseconds(100));
+    group_.views = {{generation, {0}}};
+    ownership_->RenewNow();
+    seen[generation] = clock_.Now();
+  }
+  for (std::uint64_t generation = 1; generation <= kGenerations; ++generation) {
+    CHECK(ownership_->BegunBy(generation * kCells) >= seen[generation]);
+  }
+  CHECK(ownership_->BegunBy(kGenerations * kCells) == seen[kGenerations]);
+}
+
+TEST_CASE_METHOD(OwnershipTest, "QuietSince_CellWasDealtToUs_IsItsToken") {
+  group_.views = {{3, {0}}, {3, {0}}, {5, {0}}};
+  ownership_->Start();
+  CHECK(ownership_->QuietSince(3 * kCells) == 3 * kCells);
+  ownership_->Reclaim(0, 3 * kCells);
+  REQUIRE(gained_.size() == 2);
+  CHECK(ownership_->QuietSince(gained_[1].second) == 5 * kCells);
+}
+
+// Guards against a tenure that seems to begin before our own one before it was renewed last.
+TEST_CASE_METHOD(OwnershipTest, "QuietSince_FormerTenureWasRenewedInTheGeneration_IsInTheNext") {
+  group_.views = {{3, {0}}, {4, {0}}};
+  ownership_->Start();
+  clock_.Advance(milliseconds(500));
+  ownership_->RenewNow();
+  ownership_->Reclaim(0, 3 * kCells);
+  REQUIRE(gained_.size() == 2);
+  CHECK(gained_[1].second == 4 * kCells);
+  CHECK(ownership_->QuietSince(4 * kCells) == 5 * kCells);
+}
+
+// Guards against authority that is counted from a time at which another may own the cell.
+TEST_CASE_METHOD(OwnershipTest, "Renewal_AnswerIsReadLate_CountsFromWhenItWasSent") {
+  group_.views = {{3, {0}}};
+  group_.before_answer = [this] { clock_.Advance(milliseconds(4'000)); };
+  const Instant sent = clock_.Now();
+  ownership_->Start();
+  REQUIRE(gained_.size() == 1);
+  CHECK(ownership_->renewed_at() == sent);
+  CHECK(ownership_->BegunBy(3 * kCells) == sent + milliseconds(4'000));
+}
+
 TEST_CASE_METHOD(OwnershipTest, "Evict_MemberThatEnded_LeavesInItsPlaceAndLooksAtOnce") {
   group_.views = {{3, {0}}, {4, {0, 1}}};
   ownership_->Start();
