--- a/cells/runner.h
+++ b/cells/runner.h
@@ -52,10 +52,14 @@
   BatchNumber roster_batch = 0;  ///< ... once this batch is stored; 0 when it is in none.
   bool listed = true;            ///< Discovery names this life now.
 
-  RunnerClock clock{0};       ///< As last heard ...
-  Instant clock_at{};         ///< ... at this time.
-  Instant predecessor_end{};  ///< Nothing that a predecessor ordered lasts longer.
-  Instant lease_end{};        ///< Nothing runs there after this unless a lease is granted again.
+  RunnerClock clock{0};        ///< As last heard ...
+  Instant clock_at{};          ///< ... at this time.
+  Instant predecessor_end{};   ///< Nothing that a predecessor ordered lasts longer.
+  Instant lease_end{};         ///< Nothing runs there after this unless a lease is granted again.
+  bool silent_before = false;  ///< A predecessor noted that it is silent ...
+  /// ... and that no owner of this token or a later one granted anything there; 0 when some may.
+  TenureToken untouched_since = 0;
+  bool limited = false;  ///< The store may hold that nothing is granted there.
 
   bool looking = false;
   Instant next_look{};
@@ -118,8 +122,8 @@
 
   /// Whether it takes starts but for a short pause.
   bool InUse(Instant now) const {
-    return claimed && rostered && listed && !listing.draining && now >= reserved_until &&
-           looks_failed == 0;
+    return claimed && rostered && listed && !limited && !listing.draining &&
+           now >= reserved_until && looks_failed == 0;
   }
 
   bool AcceptsStarts(Instant now) const { return InUse(now) && now >= blocked_until; }
