--- a/tests/cells/cell_takeover_chain_test.cc
+++ b/tests/cells/cell_takeover_chain_test.cc
@@ -101,11 +101,13 @@
   }
 
   /// The first owner is dealt the cell again without having noticed that it was lost.
-  void PlayFirstGoesOn(milliseconds lost_for, milliseconds held_again, int losses_after) {
+  /// The second owner ends then, or goes on without renewals and reaches the store.
+  void PlayFirstGoesOn(milliseconds lost_for, milliseconds held_again, int losses_after,
+                       bool second_ends) {
     CutHostsFromSuccessors();
     world_.TakeOver(false);
     world_.Advance(lost_for);
-    world_.DealBack();
+    world_.DealBack(second_ends);
     world_.Advance(held_again);
     LoseOwners(losses_after, kNoticed);
     CheckNothingRanTwice();
@@ -235,7 +237,21 @@
   CAPTURE(lost_for.count(), losses);
   for (milliseconds held_again{0}; held_again < milliseconds(6'000); held_again += kStep) {
     CAPTURE(held_again.count());
-    TakeoverChain(milliseconds(0)).PlayFirstGoesOn(lost_for, held_again, losses);
+    TakeoverChain(milliseconds(0)).PlayFirstGoesOn(lost_for, held_again, losses, true);
+  }
+}
+
+// Guards against TWICE: an owner that the group has deposed without its knowledge takes the end of
+// its wait for a runner as the end of the leases there, though the owner before it was dealt the
+// cell again and grants them; and its successor trusts the roster that it stored.
+TEST_CASE("Lease_OwnerDealtTheCellAgainAndTheOneBetweenGoesOn_EndsBeforeTheTaskStartsAgain") {
+  constexpr milliseconds kStep{100};
+  const milliseconds lost_for(GENERATE(50, 300, 700, 1'000));
+  const int losses = GENERATE(1, 2);
+  CAPTURE(lost_for.count(), losses);
+  for (milliseconds held_again{0}; held_again < milliseconds(9'000); held_again += kStep) {
+    CAPTURE(held_again.count());
+    TakeoverChain(milliseconds(0)).PlayFirstGoesOn(lost_for, held_again, losses, false);
   }
 }
 
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -464,8 +464,8 @@
   StartOwner(generation_ + kTokenStep);
 }
 
-void CellWorld::DealBack() {
-  KillOwner();
+void CellWorld::DealBack(bool killed) {
+  if (killed) KillOwner();
   holder_ = owners_.size() - 2;
   ChangeGroup(1);
 }
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -40,9 +40,9 @@
   void KillOwner();
   /// So many changes of the group that leave the cell where it is; its owner sees them at once.
   void ChangeGroup(std::uint64_t changes);
-  /// The owner ends, and the group deals the cell back to the one before, which has not renewed
-  /// since and does not know that it ever lost the cell.
-  void DealBack();
+  /// The group deals the cell back to the owner before, which has not renewed since and does not
+  /// know that it ever lost the cell. The owner ends, or goes on without renewals.
+  void DealBack(bool killed = true);
   /// Owners that begin from now on saw each tenure begin this late; with nothing they are new and
   /// have seen none. At once unless this is called.
   void WatchTenures(std::optional<std::chrono::milliseconds> late) { seen_late_ = late; }
