--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -180,8 +180,8 @@
   for (auto& [key, runner] : runners_) {
     const bool lease_over = time.now >= runner.lease_end;
     // Without authority, a former owner may hold the cell again and grant leases there.
-    const bool predecessor_over = !unsettled_.contains(key) ||
-                                  (time.now >= runner.predecessor_end && HasAuthority(time.now));
+    const bool predecessor_over =
+        !unsettled_.contains(key) || (time.now >= runner.predecessor_end && HasAuthority(time.now));
     const bool silent = runner.looks_failed > 0 || !runner.listed;
     const bool idle = runner.runs.empty() && !unsettled_.contains(key);
     if (silent && lease_over && predecessor_over && (!idle || !runner.listed)) {
