cells: a new life of a runner that was not heard from yet stays in the roster

Callers could see: one task on two runners (TWICE). An owner takes a cell over and has not heard from a runner that ran its predecessor's tasks; the runner comes back under its id with a new life, which may still carry out late what was ordered from the former one. The owner waits for the new life, but the roster it stored had neither; the next owner did not wait. Cause: the roster holds runners that are claimed or were rostered; a new life is neither until it answers. Change: whatever the owner itself waits for is in the roster. Evidence: cell_lease_test, Roster_SilentRunnerComesWithANewLife_SuccessorWaitsForIt, failed before (1 of 2 runners waited for) and passes; takeover, chain, release, regain, fuzz pass.

--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -168,7 +168,7 @@
   std::vector<RunnerListing> roster;
   const BatchNumber batch = commits_.last_batch() + 1;
   for (auto& [key, runner] : runners_) {
-    if (!runner.claimed && !runner.rostered) continue;
+    if (!runner.claimed && !runner.rostered && !unsettled_.contains(key)) continue;
     if (!runner.rostered) runner.roster_batch = batch;
     roster.push_back(runner.listing);
   }
--- a/tests/cells/cell_lease_test.cc
+++ b/tests/cells/cell_lease_test.cc
@@ -30,6 +30,24 @@
   CHECK(starts_.back().deadline >= Clock());
 }
 
+// Guards against TWICE: a successor that does not wait for a runner, since the owner in between,
+// which had not heard from it, stored the roster without its new life. What the first owner ordered
+// there may be carried out late.
+TEST_CASE_METHOD(IdleRunnerTest, "Roster_SilentRunnerComesWithANewLife_SuccessorWaitsForIt") {
+  Begin(2, kRoom);
+  Pass(milliseconds(300));
+  silent_.insert(RunnerName(0));
+  Begin(2, kRoom);
+  Pass(milliseconds(300));
+  REQUIRE(cell_->unsettled_runners() == 1);
+  ++lives_before_[RunnerName(0)];
+  ListRunners(2, kRoom);
+  Pass(milliseconds(300));
+  REQUIRE(cell_->unsettled_runners() == 1);
+  Begin(2, kRoom);
+  CHECK(cell_->unsettled_runners() == 2);
+}
+
 // Guards against a lasting task that was away for 20 s: an order to a former life of its runner had
 // not been answered, and what ran on the new life was taken to last as long as that could.
 TEST_CASE("LastingTask_OnLifeAfterAnUnansweredStart_IsBackInTime") {
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -46,7 +46,7 @@
       const auto other = service_of_.find(listing.id);
       listing.service = other == service_of_.end() ? kService : other->second;
       listing.capacity = capacity;
-      listing.born = kBorn;
+      listing.born = kBorn + std::chrono::milliseconds(lives_before_[listing.id]);
       listings.push_back(listing);
     }
     cell_->SetRunners(listings, Time());
@@ -130,6 +130,7 @@
   std::map<std::string, std::string> service_of_;  ///< By runner id, where it is not `kService`.
   std::map<std::string, std::string> label_of_;    ///< By runner id, where it has one.
   std::set<std::string> draining_;                 ///< Runners that are listed as draining.
+  std::map<std::string, int> lives_before_;        ///< By runner id.
   std::set<std::string> silent_;                   ///< Runners that answer no look.
   std::set<std::string> down_;                     ///< Runners whose looks end by their timeout.
   std::map<std::string, std::string> stored_;
@@ -183,7 +184,7 @@
     std::erase_if(ended_[id],
                   [&](const ListedEnd& end) { return end.number <= look.forget_up_to; });
     RunnerReport report;
-    report.born = kBorn;
+    report.born = kBorn + std::chrono::milliseconds(lives_before_[id]);
     report.clock = Clock();
     report.running = running_[id];
     report.ended = ended_[id];
