upkeep: an answer that comes after a list showed the machine down leaves it away

What callers would have seen: LIMIT. An order to a machine has no answer and is carried out. Its repeat is open when a list shows the machine down, which settles the first order (FoundBusy forgets that an outcome is unknown). If the repeat is then refused (429, 503, or no connection in time), the machine went back to "preparing" and stopped counting as away while it was down, so another machine of the wave was ordered beside it. If the repeat has no answer either, the machine counted as away for the time of the first order only, and its outcome was never looked at again.

Why it works: a refusal changes a machine whose order is the last word on it only; an order without an answer makes the outcome open again, and the next list settles it.

--- a/scheduling/upkeep_planner.cc
+++ b/scheduling/upkeep_planner.cc
@@ -102,7 +102,13 @@
 }
 
 void WavePlan::Refused(const std::string& machine) {
-  if (!uncertain_.contains(machine)) phases_[machine] = UpkeepPhase::kPreparing;
+  const bool open = phases_[machine] == UpkeepPhase::kOrdered;
+  if (open && !uncertain_.contains(machine)) phases_[machine] = UpkeepPhase::kPreparing;
+}
+
+void WavePlan::Unknown(const std::string& machine) {
+  uncertain_.insert(machine);
+  phases_[machine] = UpkeepPhase::kOrdered;
 }
 
 void WavePlan::FoundBusy(const std::string& machine, Instant now) {
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -72,10 +72,12 @@
   /// whether to send the order, also when it repeats one without an answer.
   bool BeginOrder(const std::string& machine);
   /// The order was refused and nothing was done. An earlier one without an answer may still be
-  /// carried out, so the machine counts as away until its outcome is known.
+  /// carried out, or a list may have shown the machine down by it meanwhile: the machine counts as
+  /// away until that outcome is known.
   void Refused(const std::string& machine);
-  /// There was no answer: the order may be carried out, now or later.
-  void Unknown(const std::string& machine) { uncertain_.insert(machine); }
+  /// There was no answer: the order may be carried out, now or later, whatever a list has shown
+  /// meanwhile.
+  void Unknown(const std::string& machine);
   /// The machine was not up when the order came.
   void FoundBusy(const std::string& machine, Instant now);
   void Began(const std::string& machine, Instant now);
--- a/tests/scheduling/upkeep_planner_test.cc
+++ b/tests/scheduling/upkeep_planner_test.cc
@@ -61,6 +61,32 @@
   CHECK(plan.BeginOrder("m1"));
 }
 
+// Guards against LIMIT: a list showed the machine down by its first order while the repeat was
+// open, and the repeat, once refused, made room for another machine.
+TEST_CASE_METHOD(WavePlanTest, "Refused_ListShowedMachineDownMeanwhile_StillCountsAsAway") {
+  WavePlan plan(wave_, now_);
+  plan.Ordered("m1");
+  plan.Unknown("m1");
+  plan.FoundBusy("m1", now_);
+  plan.Refused("m1");
+  plan.Ordered("m2");
+  CHECK_FALSE(plan.MayOrder());
+  CHECK_FALSE(plan.BeginOrder("m1"));
+}
+
+// Guards against LIMIT likewise: the repeat has no answer either, and may be carried out later.
+TEST_CASE_METHOD(WavePlanTest, "Unknown_ListShowedMachineDownMeanwhile_OutcomeIsAwaited") {
+  WavePlan plan(wave_, now_);
+  plan.Ordered("m1");
+  plan.Unknown("m1");
+  plan.FoundBusy("m1", now_);
+  plan.Unknown("m1");
+  plan.TakeMachines(machines_, now_ + seconds(3));
+  plan.Ordered("m2");
+  CHECK_FALSE(plan.MayOrder());
+  CHECK(plan.Unanswered() == std::vector<std::string>{"m1", "m2"});
+}
+
 TEST_CASE_METHOD(WavePlanTest, "Refused_OnlyOrder_MachineIsPreparedAgain") {
   WavePlan plan(wave_, now_);
   plan.Ordered("m1");
