daemon: the outcome of an order ends what is kept of earlier ones without an answer

What callers would have seen: a lasting task that is away for its runner's whole lease. A machine's upkeep order has no answer; its repeat finds the machine busy. When the machine is up with another runner and is ordered again, the entry of the first order (with the earlier runner) is still there: the next list shows "another runner", which settles the order that is open. If that order has no answer and is carried out, the owner of the new runner is not told, and the machine counts as away for the time of the wrong settlement only.

Cause: `unanswered_` was erased when a list settled it, and not when a repeat was answered; try_emplace kept the old entry.

Why it works: an entry lives from an order without an answer to the first news of that machine, by a list or by an answer.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -256,6 +256,8 @@
   const auto found = plans_.find(wave);
   if (found == plans_.end()) return;
   WavePlan& plan = found->second;
+  const bool outcome_known = answer == MachineAnswer::kDone || answer == MachineAnswer::kBusy;
+  if (outcome_known) unanswered_.erase(machine.machine);
   switch (answer) {
     case MachineAnswer::kDone:
       plan.Began(machine.machine, clock_.Now());
--- a/tests/daemon/order_repeat_test.cc
+++ b/tests/daemon/order_repeat_test.cc
@@ -56,11 +56,15 @@
     return options;
   }
 
+  std::string RunnerOf(const std::string& machine) const {
+    return (restarted_.contains(machine) ? "next-runner-of-" : "runner-of-") + machine;
+  }
+
   nlohmann::json Row(const std::string& name, std::string_view pool) const {
     return {{"Machine", name},
             {"Pool", pool},
             {"State", down_.contains(name) ? "upkeep" : "up"},
-            {"Id", "runner-of-" + name},
+            {"Id", RunnerOf(name)},
             {"Capacity", {{"Cpu", 32'000}}}};
   }
 
@@ -69,6 +73,8 @@
     if (request.target.starts_with("/machine-")) {
       ++orders_;
       ordered_ = nlohmann::json::parse(request.body).at("Machine");
+      lists_fail_ = lists_fail_at_repeat_ && orders_ > 2;
+      if (busy_) return reply({409, R"({"Reason":"busy"})", {}});
       return held_.push_back(reply);
     }
     if (request.target.starts_with("/log-newest")) {
@@ -79,6 +85,7 @@
 
   void ServeList(const HttpReply& reply) {
     ++lists_;
+    if (lists_fail_) return reply({503, "", {}});
     nlohmann::json rows = nlohmann::json::array();
     for (int i = 0; i < kMachines; ++i) rows.push_back(Row(Concat("m-", i), kIdlePool));
     rows.push_back(Row("m-pressed", kPressedPool));
@@ -132,10 +139,12 @@
     while (lists_ < last) io_.run_one_for(seconds(10));
   }
 
-  /// Runs until the only order was sent and given up.
+  /// Runs until one more order was sent and given up.
   void RunUntilOrderIsGivenUp() {
-    while (orders_ == 0 && lists_ < kRoundsToOrder) io_.run_one_for(seconds(10));
-    REQUIRE(orders_ == 1);
+    const int before = orders_;
+    const int last = lists_ + kRoundsToOrder;
+    while (orders_ == before && lists_ < last) io_.run_one_for(seconds(10));
+    REQUIRE(orders_ == before + 1);
     released_ = false;
     const Instant sent = BootClock().Now();
     while (BootClock().Now() < sent + seconds(2)) io_.run_one_for(milliseconds(50));
@@ -143,10 +152,14 @@
 
   asio::io_context io_;
   const Endpoint at_ = FreeEndpoint();
-  bool released_ = true;        ///< What the owner of a runner says.
-  std::set<std::string> down_;  ///< Machines that are listed as not up.
-  std::set<std::string> gone_;  ///< Runners that their owners were told to be gone.
-  std::string ordered_;         ///< Machine of the last order.
+  bool released_ = true;             ///< What the owner of a runner says.
+  std::set<std::string> down_;       ///< Machines that are listed as not up.
+  std::set<std::string> restarted_;  ///< Machines that are back with another runner.
+  std::set<std::string> gone_;       ///< Runners that their owners were told to be gone.
+  std::string ordered_;              ///< Machine of the last order.
+  bool busy_ = false;                ///< Orders find their machines down.
+  bool lists_fail_ = false;
+  bool lists_fail_at_repeat_ = false;  ///< From the third order on.
   int orders_ = 0;
   int lists_ = 0;
   std::vector<HttpReply> held_;
@@ -203,5 +216,24 @@
   CHECK(gone_ == std::set<std::string>{"runner-of-" + ordered_});
 }
 
+// Guards against the same at the second time: what was kept of a first order without an answer, to
+// an earlier runner of the machine, was taken for the outcome of the next order.
+TEST_CASE_METHOD(OrderRepeatTest, "Upkeep_NotAnsweredAgainAfterMachineWasBusy_OwnerIsTold") {
+  lists_fail_at_repeat_ = GENERATE(false, true);
+  StartWithWave();
+  RunUntilOrderIsGivenUp();
+  busy_ = true;
+  released_ = true;
+  while (orders_ == 1) io_.run_one_for(seconds(10));
+  busy_ = false;
+  restarted_ = {ordered_};
+  RunUntilOrderIsGivenUp();
+  lists_fail_ = false;
+  RunFor(kRoundsToRepeat);
+  down_ = {ordered_};
+  RunFor(kRoundsToRepeat);
+  CHECK(gone_.contains("next-runner-of-" + ordered_));
+}
+
 }  // namespace
 }  // namespace wigeonlane
