daemon: the owner is told of a machine that a repeated order finds down

What callers would have seen: a lasting task that is away for its runner's whole lease (5 s). An upkeep order is given up without an answer and carried out after that, between a list and the repeat. The repeat is answered "busy", which moves the machine out of those whose outcome is open, so no list is compared with what was known of it, and its owner is never told that the runner is gone.

Cause: only "done" had the next list looked at for the owner's sake.

Evidence: Upkeep_RepeatFindsMachineDown_OwnerIsTold failed before (nothing told) and passes now.

Why it works: after "busy" the next list is looked at as after "done"; a machine that it shows up, because it was leaving or came back, is not told as gone.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -270,7 +270,9 @@
       if (HasAuthority(tenure)) Stop();
       return;
     case MachineAnswer::kBusy:
-      return plan.FoundBusy(machine.machine, clock_.Now());
+      plan.FoundBusy(machine.machine, clock_.Now());
+      answered_[machine.machine] = machine;
+      return RoundLater(tenure);
     case MachineAnswer::kRefused:
       return plan.Refused(machine.machine);
     case MachineAnswer::kUnknown:
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -100,8 +100,8 @@
   std::set<std::uint64_t> completed_;
   std::map<std::uint64_t, std::set<std::string>> begun_unstored_;  ///< By wave.
   bool storing_begun_ = false;
-  /// The answer is the same when the upkeep was over already, so the first list that is read after
-  /// it tells whether the runner is gone.
+  /// The answer is the same when the upkeep was over already, and machines that are busy may be up
+  /// and leaving, so the first list that is read after it tells whether the runner is gone.
   AnsweredMachines answered_;
   /// Machines whose order was not answered, likewise.
   std::map<std::string, ListedMachine> unanswered_;
--- a/tests/daemon/order_repeat_test.cc
+++ b/tests/daemon/order_repeat_test.cc
@@ -74,7 +74,10 @@
       ++orders_;
       ordered_ = nlohmann::json::parse(request.body).at("Machine");
       lists_fail_ = lists_fail_at_repeat_ && orders_ > 2;
-      if (busy_) return reply({409, R"({"Reason":"busy"})", {}});
+      if (busy_) {
+        if (down_once_busy_) down_ = {ordered_};
+        return reply({409, R"({"Reason":"busy"})", {}});
+      }
       return held_.push_back(reply);
     }
     if (request.target.starts_with("/log-newest")) {
@@ -158,6 +161,7 @@
   std::set<std::string> gone_;       ///< Runners that their owners were told to be gone.
   std::string ordered_;              ///< Machine of the last order.
   bool busy_ = false;                ///< Orders find their machines down.
+  bool down_once_busy_ = false;      ///< Lists show so only after such an answer.
   bool lists_fail_ = false;
   bool lists_fail_at_repeat_ = false;  ///< From the third order on.
   int orders_ = 0;
@@ -216,6 +220,19 @@
   CHECK(gone_ == std::set<std::string>{"runner-of-" + ordered_});
 }
 
+// Guards against the same when the first order is carried out so late that its repeat, and no list,
+// is what finds the machine down.
+TEST_CASE_METHOD(OrderRepeatTest, "Upkeep_RepeatFindsMachineDown_OwnerIsTold") {
+  StartWithWave();
+  RunUntilOrderIsGivenUp();
+  busy_ = true;
+  down_once_busy_ = true;
+  released_ = true;
+  RunFor(kRoundsToRepeat);
+  CHECK(orders_ == 2);
+  CHECK(gone_ == std::set<std::string>{"runner-of-" + ordered_});
+}
+
 // Guards against the same at the second time: what was kept of a first order without an answer, to
 // an earlier runner of the machine, was taken for the outcome of the next order.
 TEST_CASE_METHOD(OrderRepeatTest, "Upkeep_NotAnsweredAgainAfterMachineWasBusy_OwnerIsTold") {
