daemon: a release that is read after a pause does not count

What callers would have seen: AVAIL. The owner of a runner counts its release from its answer on for 2.2 s: 0.4 s for the answer, 0.3 s in line, 1.5 s for the order (kOrderReach), and the time until a look fails. A coordinator that stood still (its authority bears up to 1.5 s) reads the answer before the timer of that question, and sends the order up to 1.1 s later than the owner counts with; from then on the owner lets another runner of the step go.

Cause: of the three times of kOrderReach, the line and the order are checked against the clock that goes on in pauses, the answer was not.

Evidence: Reserve_AnswerIsReadLongAfterTheQuestion_DoesNotCount failed before and passes now.

Why it works: a late answer is dropped, and the next round asks again.

--- a/daemon/runner_owners.cc
+++ b/daemon/runner_owners.cc
@@ -19,12 +19,14 @@
 void RunnerOwners::Reserve(const ListedMachine& machine, std::function<void()> ready) {
   auto call = CallOn(machine, CellVerb::kReserveRunner);
   if (!call || !asked_runners_.insert(machine.runner).second) return;
-  router_->Call(
-      *std::move(call), kNoHandover, kAskTimeout,
-      [this, runner = machine.runner, ready = std::move(ready)](const CallAnswer& answer) {
-        asked_runners_.erase(runner);
-        if (answer.verdict == CallVerdict::kReady) ready();
-      });
+  router_->Call(*std::move(call), kNoHandover, kAskTimeout,
+                [this, runner = machine.runner, asked = clock_.Now(),
+                 ready = std::move(ready)](const CallAnswer& answer) {
+                  asked_runners_.erase(runner);
+                  // After a pause, answers are read before their timers are.
+                  if (clock_.Now() - asked > kAskTimeout) return;
+                  if (answer.verdict == CallVerdict::kReady) ready();
+                });
 }
 
 void RunnerOwners::TellGone(const ListedMachine& machine) {
--- a/daemon/runner_owners.h
+++ b/daemon/runner_owners.h
@@ -10,6 +10,7 @@
 
 #include "cells/call_router.h"
 #include "cells/division.h"
+#include "core/boot_clock.h"
 #include "scheduling/upkeep_planner.h"
 
 namespace wigeonlane {
@@ -22,7 +23,8 @@
       : router_(router), division_(division) {}
 
   /// Asks for the runner on `machine` to be emptied. `ready` is called when it may be taken down;
-  /// otherwise nothing is, and the question is to be repeated.
+  /// otherwise nothing is, and the question is to be repeated. An answer that is read later than
+  /// the owner counts with (kOrderReach) does not count.
   void Reserve(const ListedMachine& machine, std::function<void()> ready);
 
   /// Tells that the runner on `machine`, as it was listed before its order, is gone.
@@ -36,6 +38,7 @@
   /// with a new rack, or while the machine has no runner.
   std::optional<CellCall> CallOn(const ListedMachine& machine, CellVerb verb) const;
 
+  BootClock clock_;
   CallRouter* router_;
   const Division* division_;
   std::set<std::string> asked_runners_;
--- a/tests/daemon/runner_owners_test.cc
+++ b/tests/daemon/runner_owners_test.cc
@@ -3,11 +3,16 @@
 
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
 #include <utility>
 
 namespace wigeonlane {
 namespace {
 
+/// More than the time of the answer that the owner counts with (0.4 s).
+constexpr std::chrono::milliseconds kPause{500};
+
 /// Owns all cells itself and answers when the test says so.
 class RunnerOwnersTest {
  protected:
@@ -51,6 +56,19 @@
   CHECK(ready == 2);
 }
 
+// Guards against AVAIL: a coordinator that stood still reads the answer before its own timeout, and
+// its order may reach the machine after the owner has ceased to count it as released.
+TEST_CASE_METHOD(RunnerOwnersTest, "Reserve_AnswerIsReadLongAfterTheQuestion_DoesNotCount") {
+  bool ready = false;
+  owners_.Reserve(Machine("r1"), [&] { ready = true; });
+  std::this_thread::sleep_for(kPause);
+  AnswerAll(CallVerdict::kReady);
+  CHECK_FALSE(ready);
+  owners_.Reserve(Machine("r1"), [&] { ready = true; });
+  AnswerAll(CallVerdict::kReady);
+  CHECK(ready);
+}
+
 TEST_CASE_METHOD(RunnerOwnersTest, "Reserve_OwnerIsNotReady_IsAskedInTheNextRound") {
   bool ready = false;
   owners_.Reserve(Machine("r1"), [&] { ready = true; });
