daemon: a machine is back by a list that was asked for after it went down

What callers would have seen: LIMIT. The list of a large fleet has several pages of up to 1.5 s each. A row that was read before a machine went down was taken as news of its return when the last page came 1.8 s after the order or later; the machine was down for 2 s, and another of the wave was ordered beside it.

Cause: the age of an upkeep was compared at the time at which the list was complete, not at which it was asked for.

Why it works: rows of a list are no older than its question.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -139,21 +139,21 @@
     return RoundLater(tenure);
   }
   balancer_.AskLoads();  // Answered by the time that the list is.
-  machines_->List([this, tenure,
+  machines_->List([this, tenure, asked = clock_.Now(),
                    answered = std::exchange(answered_, {})](absl::StatusOr<MachineList> machines) {
     if (tenure != tenure_) return;
     rounds_.End();
-    TakeAnsweredList(std::move(machines), answered, tenure);
+    TakeAnsweredList(std::move(machines), asked, answered, tenure);
     RoundLater(tenure);
   });
 }
 
 /// `answered` are machines whose orders were answered before the list was asked for.
-void MachineCoordinator::TakeAnsweredList(absl::StatusOr<MachineList> machines,
+void MachineCoordinator::TakeAnsweredList(absl::StatusOr<MachineList> machines, Instant asked,
                                           const AnsweredMachines& answered, std::uint64_t tenure) {
   if (machines.ok() && !machines->empty() && HasAuthority(tenure)) {
     ReportGone(answered, *machines);
-    return TakeList(*machines, tenure);
+    return TakeList(*machines, asked, tenure);
   }
   answered_.insert(answered.begin(), answered.end());
   if (!machines.ok()) {
@@ -170,9 +170,10 @@
   }
 }
 
-void MachineCoordinator::TakeList(const MachineList& machines, std::uint64_t tenure) {
+void MachineCoordinator::TakeList(const MachineList& machines, Instant asked,
+                                  std::uint64_t tenure) {
   for (auto it = plans_.begin(); it != plans_.end();) {
-    AdvancePlan(&it->second, machines, tenure);
+    AdvancePlan(&it->second, machines, asked, tenure);
     if (!it->second.complete()) {
       ++it;
       continue;
@@ -188,9 +189,9 @@
                   [this, tenure] { return HasAuthority(tenure); });
 }
 
-void MachineCoordinator::AdvancePlan(WavePlan* plan, const MachineList& machines,
+void MachineCoordinator::AdvancePlan(WavePlan* plan, const MachineList& machines, Instant asked,
                                      std::uint64_t tenure) {
-  plan->TakeMachines(machines, clock_.Now());
+  plan->TakeMachines(machines, asked);
   SettleUnanswered(plan, machines);
   for (const std::string& machine : plan->Unanswered()) {
     const auto listed = machines.find(machine);
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -66,10 +66,11 @@
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
   void RoundLater(std::uint64_t tenure);
-  void TakeAnsweredList(absl::StatusOr<MachineList> machines, const AnsweredMachines& answered,
-                        std::uint64_t tenure);
-  void TakeList(const MachineList& machines, std::uint64_t tenure);
-  void AdvancePlan(WavePlan* plan, const MachineList& machines, std::uint64_t tenure);
+  void TakeAnsweredList(absl::StatusOr<MachineList> machines, Instant asked,
+                        const AnsweredMachines& answered, std::uint64_t tenure);
+  void TakeList(const MachineList& machines, Instant asked, std::uint64_t tenure);
+  void AdvancePlan(WavePlan* plan, const MachineList& machines, Instant asked,
+                   std::uint64_t tenure);
   void Prepare(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
   void Order(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
   bool BeginOrder(std::uint64_t wave, const std::string& machine, std::uint64_t tenure);
--- a/scheduling/upkeep_planner.cc
+++ b/scheduling/upkeep_planner.cc
@@ -32,29 +32,29 @@
   }
 }
 
-void WavePlan::TakeMachines(const std::map<std::string, ListedMachine>& machines, Instant now) {
-  if (!std::exchange(listed_before_, true)) TakeOverAway(machines, now);
+void WavePlan::TakeMachines(const std::map<std::string, ListedMachine>& machines, Instant asked) {
+  if (!std::exchange(listed_before_, true)) TakeOverAway(machines, asked);
   for (auto& [machine, phase] : phases_) {
     const auto listed = machines.find(machine);
     if (listed == machines.end()) {
       phase = UpkeepPhase::kDone;
       continue;
     }
-    const Duration down = now - down_since_[machine];
+    const Duration down = asked - down_since_[machine];
     if (down < (listed->second.up ? kLeastDown : kLongestDown)) continue;
     if (phase == UpkeepPhase::kDown) phase = UpkeepPhase::kDone;
     if (phase == UpkeepPhase::kBusy) phase = UpkeepPhase::kWaiting;
   }
 }
 
-void WavePlan::TakeOverAway(const std::map<std::string, ListedMachine>& machines, Instant now) {
+void WavePlan::TakeOverAway(const std::map<std::string, ListedMachine>& machines, Instant asked) {
   for (auto& [machine, phase] : phases_) {
     const auto listed = machines.find(machine);
     if (listed == machines.end() || listed->second.up) continue;
     if (phase != UpkeepPhase::kDone && phase != UpkeepPhase::kWaiting) continue;
     phase = phase == UpkeepPhase::kDone ? UpkeepPhase::kDown : UpkeepPhase::kBusy;
     // They went down before this list, so the first that shows them up again is not out of date.
-    down_since_[machine] = now - kLeastDown;
+    down_since_[machine] = asked - kLeastDown;
   }
 }
 
--- a/scheduling/upkeep_planner.h
+++ b/scheduling/upkeep_planner.h
@@ -56,10 +56,11 @@
   /// Takes over machines whose upkeep is known to have begun earlier.
   void MarkDone(const std::set<std::string>& machines);
 
-  /// Takes the list of machines into account. Machines that are not listed any more need nothing.
-  /// Those that the first list shows as not up may be down by a former holder's orders: they count
-  /// as away until they are up, or for a few seconds, as lost machines must not hold the wave up.
-  void TakeMachines(const std::map<std::string, ListedMachine>& machines, Instant now);
+  /// Takes the list of machines that was asked for at `asked` into account: its rows may be as old.
+  /// Machines that are not listed any more need nothing. Those that the first list shows as not up
+  /// may be down by a former holder's orders: they count as away until they are up, or for a few
+  /// seconds, as lost machines must not hold the wave up.
+  void TakeMachines(const std::map<std::string, ListedMachine>& machines, Instant asked);
 
   /// Machines to prepare now: those being prepared and as many more as should be.
   std::vector<std::string> ToPrepare(const std::map<std::string, ListedMachine>& machines,
@@ -93,7 +94,7 @@
   const UpkeepWave& wave() const { return wave_; }
 
  private:
-  void TakeOverAway(const std::map<std::string, ListedMachine>& machines, Instant now);
+  void TakeOverAway(const std::map<std::string, ListedMachine>& machines, Instant asked);
   std::uint32_t Count(UpkeepPhase phase) const;
   std::uint32_t Away() const {
     return Count(UpkeepPhase::kOrdered) + Count(UpkeepPhase::kBusy) + Count(UpkeepPhase::kDown);
