daemon: the state of a wave is written until the store has it

What operators would have seen: a wave that stays "running" (or is not shown) for good, though all its machines have had their upkeep. Its state was written once; a write that was refused or had no answer, as with a store in trouble or four busy connections, was logged and forgotten.

Cause: nobody kept what was not stored, unlike the record of begun upkeeps.

Evidence: WaveStatus_StoreRefusesIt_IsStoredInALaterRound failed before (one write) and passes now (two).

Why it works: as with that record, one write is on its way at a time and each round writes what was not stored. A holder that gets the role back states the completed waves again.

--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -54,6 +54,8 @@
   answered_.clear();
   unanswered_.clear();
   begun_unstored_.clear();
+  status_unstored_.clear();
+  for (const std::uint64_t wave : completed_) status_unstored_[wave] = true;
   balancer_.Reset();
   rounds_.Reset();
   const std::uint64_t tenure = ++tenure_;
@@ -123,6 +125,7 @@
 void MachineCoordinator::Round(std::uint64_t tenure) {
   rounds_.Begin();
   StoreBegun();
+  StoreStatuses();
   for (const auto& [number, wave] : waves_) {
     if (plans_.contains(number) || completed_.contains(number)) continue;
     WavePlan& plan = plans_.emplace(number, WavePlan(wave, clock_.Now())).first->second;
@@ -303,8 +306,27 @@
 }
 
 void MachineCoordinator::StoreStatus(std::uint64_t wave, bool completed) {
-  store_->Put({std::string(kStatusTopic), 0}, {{WaveKey(wave), EncodeWaveStatus(completed)}},
-              [](AppendResult result) { LogIfLost("wave status", result); });
+  status_unstored_[wave] = completed;
+  StoreStatuses();
+}
+
+/// One write at a time, so that an older state never follows a newer one.
+void MachineCoordinator::StoreStatuses() {
+  if (storing_status_ || status_unstored_.empty()) return;
+  std::vector<StoreRecord> records;
+  for (const auto& [wave, completed] : status_unstored_) {
+    records.push_back({WaveKey(wave), EncodeWaveStatus(completed)});
+  }
+  storing_status_ = true;
+  store_->Put(
+      {std::string(kStatusTopic), 0}, records,
+      [this, tenure = tenure_, sent = std::exchange(status_unstored_, {})](AppendResult result) {
+        storing_status_ = false;
+        LogIfLost("wave status", result);
+        if (tenure != tenure_) return;
+        if (result == AppendResult::kStored) return StoreStatuses();
+        status_unstored_.insert(sent.begin(), sent.end());
+      });
 }
 
 }  // namespace wigeonlane
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -80,6 +80,7 @@
   void SettleUnanswered(WavePlan* plan, const MachineList& machines);
   void StoreBegun();
   void StoreStatus(std::uint64_t wave, bool completed);
+  void StoreStatuses();
 
   BootClock clock_;
   MachineClient* machines_;
@@ -101,6 +102,8 @@
   std::set<std::uint64_t> completed_;
   std::map<std::uint64_t, std::set<std::string>> begun_unstored_;  ///< By wave.
   bool storing_begun_ = false;
+  std::map<std::uint64_t, bool> status_unstored_;  ///< Whether it is completed, by wave.
+  bool storing_status_ = false;
   /// The answer is the same when the upkeep was over already, and machines that are busy may be up
   /// and leaving, so the first list that is read after it tells whether the runner is gone.
   AnsweredMachines answered_;
--- a/tests/daemon/machine_order_test.cc
+++ b/tests/daemon/machine_order_test.cc
@@ -69,6 +69,9 @@
       most_appends_ = std::max(most_appends_, appends_.size());
       return;
     }
+    if (request.target.starts_with("/log-append?Topic=keyed.status") && ++statuses_ == 1) {
+      return reply({503, "", {}});
+    }
     reply({200, R"({"Offset":0,"EndOffset":1})", {}});
   }
 
@@ -111,6 +114,7 @@
   std::vector<std::pair<std::string, HttpReply>> open_;
   std::vector<HttpReply> appends_;
   std::size_t most_appends_ = 0;
+  int statuses_ = 0;  ///< Appends of the wave's state, of which the first is refused.
   std::string last_record_;
   std::set<std::string> down_;
   int lists_ = 0;
@@ -146,5 +150,13 @@
   for (int i = 0; i < kMachines; ++i) CHECK(last_record_.find(MachineName(i)) != std::string::npos);
 }
 
+// Guards against a wave that operators see as running, or not at all, for good: its state was
+// written once, whatever became of that.
+TEST_CASE_METHOD(MachineOrderTest, "WaveStatus_StoreRefusesIt_IsStoredInALaterRound") {
+  coordinator_.Start(kToken);
+  RunUntilAllAreDown();
+  CHECK(statuses_ == 2);
+}
+
 }  // namespace
 }  // namespace wigeonlane
