--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -54,6 +54,8 @@
   answered_.clear();
   unanswered_.clear();
   begun_unstored_.clear();
+  status_unstored_.clear();
+  for (const std::uint64_t wave : completed_) status_unstored_[wave] = true;
   balancer_.Reset();
   rounds_.Reset();
   const std::uint64_t tenure = ++tenure_;
@@ -123,6 +125,7 @@
 void MachineCoordinator::Round(std::uint64_t tenure) {
   rounds_.Begin();
   StoreBegun();
+  StoreStatuses();
   for (const auto& [number, wave] : waves_) {
     if (plans_.contains(number) || completed_.contains(number)) continue;
     WavePlan& plan = plans_.emplace(number, WavePlan(wave, clock_.Now())).first->second;
@@ -139,21 +142,21 @@
     return RoundLater(tenure);
   }
   balancer_.AskLoads();  // Answered by the time that the list is.
-  machines_->List([this, tenure,
+  machines_->List([this, tenure, asked = clock_.Now(),
                    answered = std::exchange(answered_, {})](absl::StatusOr<MachineList> machines) {
     if (tenure != tenure_) return;
     rounds_.End();
-    TakeAnsweredList(std::move(machines), answered, tenure);
+    TakeAnsweredList(std::move(machines), asked, answered, tenure);
     RoundLater(tenure);
   });
 }
 
 /// `answered` are machines whose orders were answered before the list was asked for.
-void MachineCoordinator::TakeAnsweredList(absl::StatusOr<MachineList> machines,
+void MachineCoordinator::TakeAnsweredList(absl::StatusOr<MachineList> machines, Instant asked,
                                           const AnsweredMachines& answered, std::uint64_t tenure) {
   if (machines.ok() && !machines->empty() && HasAuthority(tenure)) {
     ReportGone(answered, *machines);
-    return TakeList(*machines, tenure);
+    return TakeList(*machines, asked, tenure);
   }
   answered_.insert(answered.begin(), answered.end());
   if (!machines.ok()) {
@@ -170,9 +173,10 @@
   }
 }
 
-void MachineCoordinator::TakeList(const MachineList& machines, std::uint64_t tenure) {
+void MachineCoordinator::TakeList(const MachineList& machines, Instant asked,
+                                  std::uint64_t tenure) {
   for (auto it = plans_.begin(); it != plans_.end();) {
-    AdvancePlan(&it->second, machines, tenure);
+    AdvancePlan(&it->second, machines, asked, tenure);
     if (!it->second.complete()) {
       ++it;
       continue;
@@ -188,9 +192,9 @@
                   [this, tenure] { return HasAuthority(tenure); });
 }
 
-void MachineCoordinator::AdvancePlan(WavePlan* plan, const MachineList& machines,
+void MachineCoordinator::AdvancePlan(WavePlan* plan, const MachineList& machines, Instant asked,
                                      std::uint64_t tenure) {
-  plan->TakeMachines(machines, clock_.Now());
+  plan->TakeMachines(machines, asked);
   SettleUnanswered(plan, machines);
   for (const std::string& machine : plan->Unanswered()) {
     const auto listed = machines.find(machine);
@@ -261,6 +265,8 @@
   const auto found = plans_.find(wave);
   if (found == plans_.end()) return;
   WavePlan& plan = found->second;
+  const bool outcome_known = answer == MachineAnswer::kDone || answer == MachineAnswer::kBusy;
+  if (outcome_known) unanswered_.erase(machine.machine);
   switch (answer) {
     case MachineAnswer::kDone:
       plan.Began(machine.machine, clock_.Now());
@@ -273,7 +279,9 @@
       if (HasAuthority(tenure)) Stop();
       return;
     case MachineAnswer::kBusy:
-      return plan.FoundBusy(machine.machine, clock_.Now());
+      plan.FoundBusy(machine.machine, clock_.Now());
+      answered_[machine.machine] = machine;
+      return RoundLater(tenure);
     case MachineAnswer::kRefused:
       return plan.Refused(machine.machine);
     case MachineAnswer::kUnknown:
@@ -303,8 +311,27 @@
 }
 
 void MachineCoordinator::StoreStatus(std::uint64_t wave, bool completed) {
-  store_->Put({std::string(kStatusTopic), 0}, {{WaveKey(wave), EncodeWaveStatus(completed)}},
-              [](AppendResult result) { LogIfLost("wave status", result); });
+  status_unstored_[wave] = completed;
+  StoreStatuses();
+}
+
+/// One write at a time, so that an older state never follows a newer one.
+void MachineCoordinator::StoreStatuses() {
+  if (storing_status_ || status_unstored_.empty()) return;
+  std::vector<StoreRecord> records;
+  for (const auto& [wave, completed] : status_unstored_) {
+    records.push_back({WaveKey(wave), EncodeWaveStatus(completed)});
+  }
+  storing_status_ = true;
+  store_->Put(
+      {std::string(kStatusTopic), 0}, records,
+      [this, tenure = tenure_, sent = std::exchange(status_unstored_, {})](AppendResult result) {
+        storing_status_ = false;
+        LogIfLost("wave status", result);
+        if (tenure != tenure_) return;
+        if (result == AppendResult::kStored) return StoreStatuses();
+        status_unstored_.insert(sent.begin(), sent.end());
+      });
 }
 
 }  // namespace wigeonlane
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -66,10 +66,11 @@
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
   void RoundLater(std::uint64_t tenure);
-  void TakeAnsweredList(absl::StatusOr<MachineList> machines, const AnsweredMachines& answered,
-                        std::uint64_t tenure);
-  void TakeList(const MachineList& machines, std::uint64_t tenure);
-  void AdvancePlan(WavePlan* plan, const MachineList& machines, std::uint64_t tenure);
+  void TakeAnsweredList(absl::StatusOr<MachineList> machines, Instant asked,
+                        const AnsweredMachines& answered, std::uint64_t tenure);
+  void TakeList(const MachineList& machines, Instant asked, std::uint64_t tenure);
+  void AdvancePlan(WavePlan* plan, const MachineList& machines, Instant asked,
+                   std::uint64_t tenure);
   void Prepare(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
   void Order(std::uint64_t wave, const ListedMachine& machine, std::uint64_t tenure);
   bool BeginOrder(std::uint64_t wave, const std::string& machine, std::uint64_t tenure);
@@ -79,6 +80,7 @@
   void SettleUnanswered(WavePlan* plan, const MachineList& machines);
   void StoreBegun();
   void StoreStatus(std::uint64_t wave, bool completed);
+  void StoreStatuses();
 
   BootClock clock_;
   MachineClient* machines_;
@@ -100,8 +102,10 @@
   std::set<std::uint64_t> completed_;
   std::map<std::uint64_t, std::set<std::string>> begun_unstored_;  ///< By wave.
   bool storing_begun_ = false;
-  /// The answer is the same when the upkeep was over already, so the first list that is read after
-  /// it tells whether the runner is gone.
+  std::map<std::uint64_t, bool> status_unstored_;  ///< Whether it is completed, by wave.
+  bool storing_status_ = false;
+  /// The answer is the same when the upkeep was over already, and machines that are busy may be up
+  /// and leaving, so the first list that is read after it tells whether the runner is gone.
   AnsweredMachines answered_;
   /// Machines whose order was not answered, likewise.
   std::map<std::string, ListedMachine> unanswered_;
--- a/daemon/runner_owners.cc
+++ b/daemon/runner_owners.cc
@@ -30,8 +30,11 @@
   auto call = CallOn(machine, verb);
   if (!call || !asked_runners_.insert(machine.runner).second) return;
   router_->Call(*std::move(call), kNoHandover, kAskTimeout,
-                [this, runner = machine.runner, told = std::move(told)](const CallAnswer& answer) {
+                [this, runner = machine.runner, asked = clock_.Now(),
+                 told = std::move(told)](const CallAnswer& answer) {
                   asked_runners_.erase(runner);
+                  // After a pause, answers are read before their timers are.
+                  if (clock_.Now() - asked > kAskTimeout) return;
                   told(answer.verdict);
                 });
 }
--- a/daemon/runner_owners.h
+++ b/daemon/runner_owners.h
@@ -10,6 +10,7 @@
 
 #include "cells/call_router.h"
 #include "cells/division.h"
+#include "core/boot_clock.h"
 #include "scheduling/upkeep_planner.h"
 
 namespace wigeonlane {
@@ -23,7 +24,8 @@
 
   /// Asks for the runner on `machine` to be emptied for upkeep. `told` is called with kReady when
   /// it may be taken down, with kNoPlace when its tasks have no other place, and with other
-  /// verdicts when the question is to be repeated.
+  /// verdicts when the question is to be repeated. An answer that is read later than the owner
+  /// counts with (kOrderReach) does not count.
   void Reserve(const ListedMachine& machine, std::function<void(CallVerdict)> told);
 
   /// The same for a move, which ends no lasting task.
@@ -42,6 +44,7 @@
   /// with a new rack, or while the machine has no runner.
   std::optional<CellCall> CallOn(const ListedMachine& machine, CellVerb verb) const;
 
+  BootClock clock_;
   CallRouter* router_;
   const Division* division_;
   std::set<std::string> asked_runners_;
--- a/tests/daemon/runner_owners_test.cc
+++ b/tests/daemon/runner_owners_test.cc
@@ -3,11 +3,16 @@
 
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <thread>
 #include <utility>
 
 namespace wigeonlane {
 namespace {
 
+/// More than the time of the answer that the owner counts with (0.4 s).
+constexpr std::chrono::milliseconds kPause{500};
+
 /// Owns all cells itself and answers when the test says so.
 class RunnerOwnersTest {
  protected:
@@ -56,6 +61,18 @@
   CHECK(ready_ == 2);
 }
 
+// Guards against AVAIL: a coordinator that stood still reads the answer before its own timeout, and
+// its order may reach the machine after the owner has ceased to count it as released.
+TEST_CASE_METHOD(RunnerOwnersTest, "Reserve_AnswerIsReadLongAfterTheQuestion_DoesNotCount") {
+  Reserve("r1");
+  std::this_thread::sleep_for(kPause);
+  AnswerAll(CallVerdict::kReady);
+  CHECK(ready_ == 0);
+  Reserve("r1");
+  AnswerAll(CallVerdict::kReady);
+  CHECK(ready_ == 1);
+}
+
 TEST_CASE_METHOD(RunnerOwnersTest, "Reserve_OwnerIsNotReady_IsAskedInTheNextRound") {
   Reserve("r1");
   AnswerAll(CallVerdict::kNotReady);
