daemon: lists of machines keep to the platform's rate

What callers would have seen: orders to machines that come late. Each answered order begins a round 20 ms later, and each round reads all pages of the list: with two pages 92 reads in one second, where the platform takes 64 from all instances (RatePerS). The others are refused (429), and with them the whole round: no owner is told of a machine that is down, no move or upkeep is planned.

Cause: rounds were paced by time alone; RatePerS was read by nobody.

Evidence: Lists_OrdersAreAnsweredInQuickSuccession_NoSecondSeesTooMany failed before (92 <= 64) and passes now. How many pages the large site's list has was not looked at.

Why it works: the next list is asked for no sooner than the pages of the last one take at 0.85 of the rate. With one page that changes little (18 ms).

--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -126,6 +126,7 @@
   options.division = &divisions_.division();
   options.machine_lease = settings_.machine_lease;
   options.orders_per_second = settings_.machine_orders_per_second;
+  options.reads_per_second = settings_.machine_reads_per_second;
   options.predecessor = [this]() -> RolePredecessor {
     const Host* host = cells_.Find(kCoordinatorCell);
     if (host == nullptr || host->cell() == nullptr) return {};
--- a/daemon/machine_coordinator.cc
+++ b/daemon/machine_coordinator.cc
@@ -19,6 +19,9 @@
 constexpr std::chrono::milliseconds kRound{100};
 /// After an order, so that tasks of the machine start elsewhere at once.
 constexpr std::chrono::milliseconds kSoon{20};
+/// Share of the platform's rate that lists use; the rest is for a successor's first ones.
+constexpr double kReadShare = 0.85;
+
 OrderWindowOptions WindowOptions(const MachineCoordinator::Options& options) {
   OrderWindowOptions window;
   window.most_open = MachineClient::kMostOpenOrders;
@@ -114,14 +117,22 @@
 }
 
 void MachineCoordinator::RoundLater(std::uint64_t tenure) {
-  const std::chrono::milliseconds wait = answered_.empty() ? kRound : kSoon;
-  if (!rounds_.Plan(clock_.Now() + wait)) return;
-  timer_.expires_after(wait);
+  const Instant now = clock_.Now();
+  const Instant at = std::max<Instant>(now + (answered_.empty() ? kRound : kSoon), next_list_);
+  if (!rounds_.Plan(at)) return;
+  timer_.expires_after(at - now);
   timer_.async_wait([this, tenure](asio::error_code error) {
     if (!error && tenure == tenure_) Round(tenure);
   });
 }
 
+/// What the pages of the last list take of the platform's rate.
+Duration MachineCoordinator::ReadTime() const {
+  const std::chrono::duration<double> time(machines_->pages_of_list() /
+                                           (options_.reads_per_second * kReadShare));
+  return std::chrono::ceil<Duration>(time);
+}
+
 void MachineCoordinator::Round(std::uint64_t tenure) {
   rounds_.Begin();
   StoreBegun();
@@ -144,6 +155,7 @@
   balancer_.AskLoads();  // Answered by the time that the list is.
   machines_->List([this, tenure, asked = clock_.Now(),
                    answered = std::exchange(answered_, {})](absl::StatusOr<MachineList> machines) {
+    next_list_ = asked + ReadTime();
     if (tenure != tenure_) return;
     rounds_.End();
     TakeAnsweredList(std::move(machines), asked, answered, tenure);
--- a/daemon/machine_coordinator.h
+++ b/daemon/machine_coordinator.h
@@ -40,6 +40,8 @@
     std::chrono::milliseconds machine_lease{3'000};
     /// What the platform takes (CloudApi.DutyPerS).
     double orders_per_second = 64;
+    /// The same of pages of the list (CloudApi.RatePerS).
+    double reads_per_second = 64;
     /// What is known of the former holder by now.
     std::function<RolePredecessor()> predecessor = [] { return RolePredecessor(); };
   };
@@ -66,6 +68,7 @@
   void ReadBegun(std::uint64_t tenure);
   void Round(std::uint64_t tenure);
   void RoundLater(std::uint64_t tenure);
+  Duration ReadTime() const;
   void TakeAnsweredList(absl::StatusOr<MachineList> machines, Instant asked,
                         const AnsweredMachines& answered, std::uint64_t tenure);
   void TakeList(const MachineList& machines, Instant asked, std::uint64_t tenure);
@@ -91,6 +94,7 @@
   PoolBalancer balancer_;
   RoleTenure role_;
   RoundSchedule rounds_;
+  Instant next_list_{};  ///< The platform's rate allows no list before.
   asio::steady_timer timer_;
   TenureToken token_ = 0;
   std::uint64_t tenure_ = 0;  ///< Counts starts and stops, so that late answers are told apart.
--- a/tests/daemon/machine_order_test.cc
+++ b/tests/daemon/machine_order_test.cc
@@ -58,7 +58,11 @@
   }
 
   void Serve(const HttpRequest& request, const HttpReply& reply) {
-    if (request.target.starts_with("/machines")) return ServeList(reply);
+    if (request.target.starts_with("/machines")) {
+      reads_.push_back(BootClock().Now());
+      if (request.target.ends_with("PageToken=2")) return reply({200, R"({"Machines":[]})", {}});
+      return ServeList(reply);
+    }
     if (request.target.starts_with("/machine-")) return TakeOrder(request, reply);
     if (request.target.starts_with("/log-newest")) {
       return reply({200, R"({"items":[],"HasMore":false,"EndOffset":0})", {}});
@@ -99,7 +103,9 @@
       down_.insert(machine);
       answer({200, "{}", {}});
     }
-    reply({200, nlohmann::json({{"Machines", rows}}).dump(), {}});
+    nlohmann::json page = {{"Machines", rows}};
+    if (two_pages_) page["NextToken"] = "2";
+    reply({200, page.dump(), {}});
   }
 
   void RunUntilAllAreDown() {
@@ -117,6 +123,8 @@
   int statuses_ = 0;  ///< Appends of the wave's state, of which the first is refused.
   std::string last_record_;
   std::set<std::string> down_;
+  bool two_pages_ = false;      ///< Of the list of machines.
+  std::vector<Instant> reads_;  ///< When pages were asked for.
   int lists_ = 0;
   AsyncHttpServer server_{
       &io_, [this](const HttpRequest& request, const HttpReply& reply) { Serve(request, reply); },
@@ -150,6 +158,21 @@
   for (int i = 0; i < kMachines; ++i) CHECK(last_record_.find(MachineName(i)) != std::string::npos);
 }
 
+// Guards against lists that the platform refuses for their number: an order that is answered begins
+// a round soon, and each round reads all pages.
+TEST_CASE_METHOD(MachineOrderTest, "Lists_OrdersAreAnsweredInQuickSuccession_NoSecondSeesTooMany") {
+  constexpr std::size_t kReadsPerSecond = 64;  // CloudApi.RatePerS of the sites.
+  two_pages_ = true;
+  coordinator_.Start(kToken);
+  RunUntilAllAreDown();
+  std::size_t most = 0;
+  for (auto first = reads_.begin(); first != reads_.end(); ++first) {
+    const auto after = std::lower_bound(first, reads_.end(), *first + seconds(1));
+    most = std::max(most, static_cast<std::size_t>(after - first));
+  }
+  CHECK(most <= kReadsPerSecond);
+}
+
 // Guards against a wave that operators see as running, or not at all, for good: its state was
 // written once, whatever became of that.
 TEST_CASE_METHOD(MachineOrderTest, "WaveStatus_StoreRefusesIt_IsStoredInALaterRound") {
