settings: rates of the machines' API are read only where there is one

Cause: a file without that API that states a rate of 0 would have kept the process from starting, since the rates were checked for all files. Evidence: wire_test, Settings_RatesOfMachines_...; seen on no site.

--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -62,6 +62,17 @@
   }
 }
 
+TEST_CASE_METHOD(WireTest, "Settings_RatesOfMachines_AreReadWhereThereIsAnApi") {
+  const std::string address = "CloudApi.Address=10.1.0.7:80\n";
+  const std::string rates = "CloudApi.DutyPerS=590.0\nCloudApi.RatePerS=120\n";
+  const auto settings = ParsePlatformSettings(Settings() + address + rates);
+  REQUIRE(settings.ok());
+  CHECK(settings->machine_orders_per_second == 590);
+  CHECK(settings->machine_reads_per_second == 120);
+  CHECK(ParsePlatformSettings(Settings() + "CloudApi.DutyPerS=0\n").ok());
+  CHECK_FALSE(ParsePlatformSettings(Settings() + address + "CloudApi.DutyPerS=0\n").ok());
+}
+
 TEST_CASE_METHOD(WireTest, "Job_GoodBody_KeepsEveryField") {
   const auto job = DecodeJob(
       R"({"Spec":"s","Times":2,"StartAtMs":5,"PeriodMs":7,"Steps":[{"Count":4,"Cpu":500,"MemMb":256,
