--- a/tests/daemon/late_list_test.cc
+++ b/tests/daemon/late_list_test.cc
@@ -1,6 +1,5 @@
 /// A list of machines whose pages come so late that its first rows are out of date.
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
@@ -12,11 +11,12 @@
 
 #include "daemon/machine_coordinator.h"
 #include "net/async_http_server.h"
+#include "tests/daemon/coordinator_options.h"
+#include "tests/support/free_endpoint.h"
 
 namespace wigeonlane {
 namespace {
 
-using asio::ip::tcp;
 using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -44,20 +44,6 @@
     coordinator_.ExtendAuthority(BootClock().Now() + hours(1));
   }
 
-  static Endpoint FreeEndpoint() {
-    asio::io_context io;
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-  }
-
-  static MachineCoordinator::Options Options(const Division* division) {
-    MachineCoordinator::Options options;
-    options.holder = "i-1";
-    options.division = division;
-    options.predecessor = [] { return RolePredecessor{true, Instant{}}; };
-    return options;
-  }
-
   bool IsDown(const std::string& machine) const {
     const auto began = began_.find(machine);
     return began != began_.end() && BootClock().Now() < began->second + kMaintenance;
@@ -121,7 +107,8 @@
   StoreClient store_{&io_, at_, &metrics_};
   CallRouter router_{&io_, Endpoint{}, RouterHooks{}};
   Division division_;
-  MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_, Options(&division_)};
+  MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_,
+                                  FirstHolderOptions(&division_)};
 };
 
 // Guards against LIMIT: a machine counted as back by a row that was read before it went down, and
--- a/tests/daemon/machine_order_test.cc
+++ b/tests/daemon/machine_order_test.cc
@@ -1,7 +1,6 @@
 /// Orders to machines, from the coordinator to a platform that answers them late, over loopback.
 #include <algorithm>
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
@@ -13,11 +12,12 @@
 
 #include "daemon/machine_coordinator.h"
 #include "net/async_http_server.h"
+#include "tests/daemon/coordinator_options.h"
+#include "tests/support/free_endpoint.h"
 
 namespace wigeonlane {
 namespace {
 
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -41,22 +41,8 @@
     coordinator_.SetWaves({wave});
   }
 
-  static Endpoint FreeEndpoint() {
-    asio::io_context io;
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-  }
-
   static std::string MachineName(int number) { return Concat("m-", number); }
 
-  static MachineCoordinator::Options Options(const Division* division) {
-    MachineCoordinator::Options options;
-    options.holder = "i-1";
-    options.division = division;
-    options.predecessor = [] { return RolePredecessor{true, Instant{}}; };
-    return options;
-  }
-
   void Serve(const HttpRequest& request, const HttpReply& reply) {
     if (request.target.starts_with("/machines")) {
       reads_.push_back(BootClock().Now());
@@ -134,7 +120,8 @@
   StoreClient store_{&io_, at_, &metrics_};
   CallRouter router_{&io_, Endpoint{}, RouterHooks{}};
   Division division_;
-  MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_, Options(&division_)};
+  MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_,
+                                  FirstHolderOptions(&division_)};
 };
 
 // Guards against orders that are sent again while they are open: the repeats fill the queue of
--- a/tests/daemon/order_repeat_test.cc
+++ b/tests/daemon/order_repeat_test.cc
@@ -1,6 +1,5 @@
 /// Orders to machines that were not answered, from the coordinator to a platform over loopback.
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
@@ -11,11 +10,12 @@
 
 #include "daemon/machine_coordinator.h"
 #include "net/async_http_server.h"
+#include "tests/daemon/coordinator_options.h"
+#include "tests/support/free_endpoint.h"
 
 namespace wigeonlane {
 namespace {
 
-using asio::ip::tcp;
 using std::chrono::hours;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -44,20 +44,6 @@
     coordinator_.ExtendAuthority(BootClock().Now() + hours(1));
   }
 
-  static Endpoint FreeEndpoint() {
-    asio::io_context io;
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-  }
-
-  static MachineCoordinator::Options Options(const Division* division) {
-    MachineCoordinator::Options options;
-    options.holder = "i-1";
-    options.division = division;
-    options.predecessor = [] { return RolePredecessor{true, Instant{}}; };
-    return options;
-  }
-
   std::string RunnerOf(const std::string& machine) const {
     return (restarted_.contains(machine) ? "next-runner-of-" : "runner-of-") + machine;
   }
@@ -177,7 +163,8 @@
   StoreClient store_{&io_, at_, &metrics_};
   CallRouter router_{&io_, Endpoint{}, Hooks()};
   Division division_;
-  MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_, Options(&division_)};
+  MachineCoordinator coordinator_{&io_, &machines_, &store_, &router_,
+                                  FirstHolderOptions(&division_)};
 };
 
 // Guards against AVAIL (issue 25): an upkeep order is repeated after the owner's release of the
--- a/tests/net/http_client_pause_test.cc
+++ b/tests/net/http_client_pause_test.cc
@@ -1,6 +1,5 @@
 /// A client whose process stands still for longer than its requests may take.
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
@@ -9,11 +8,11 @@
 
 #include "net/async_http_client.h"
 #include "net/async_http_server.h"
+#include "tests/support/free_endpoint.h"
 
 namespace wigeonlane {
 namespace {
 
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 
 /// Long enough to connect and write on a busy machine before the pause.
@@ -29,12 +28,6 @@
  protected:
   HttpClientPauseTest() { REQUIRE(server_.Listen(at_).ok()); }
 
-  static Endpoint FreeEndpoint() {
-    asio::io_context io;
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-  }
-
   void Send(const std::string& body, std::optional<HttpExchange>* outcome) {
     client_.Send({"POST", "/x", "", {}, body}, kTimeout,
                  [outcome](HttpExchange exchange) { *outcome = std::move(exchange); });
--- a/tests/net/net_test.cc
+++ b/tests/net/net_test.cc
@@ -9,6 +9,7 @@
 #include "net/async_http_client.h"
 #include "net/async_http_server.h"
 #include "net/frame_link.h"
+#include "tests/support/free_endpoint.h"
 
 namespace wigeonlane {
 namespace {
@@ -20,12 +21,6 @@
 class NetTest {
  protected:
   /// A port that was free just now.
-  static Endpoint FreeEndpoint() {
-    asio::io_context io;
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-  }
-
   template <typename T>
   T RunUntil(const std::optional<T>& result) {
     io_.restart();
--- a/tests/platform/store_client_test.cc
+++ b/tests/platform/store_client_test.cc
@@ -2,18 +2,17 @@
 #include "platform/store_client.h"
 
 #include <asio/io_context.hpp>
-#include <asio/ip/tcp.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "net/async_http_server.h"
+#include "tests/support/free_endpoint.h"
 
 namespace wigeonlane {
 namespace {
 
-using asio::ip::tcp;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -22,12 +21,6 @@
  protected:
   StoreClientTest() { REQUIRE(server_.Listen(at_).ok()); }
 
-  static Endpoint FreeEndpoint() {
-    asio::io_context io;
-    tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
-    return {"127.0.0.1", acceptor.local_endpoint().port()};
-  }
-
   /// Renews once and returns whether that was confirmed.
   bool Renew() {
     std::optional<bool> confirmed;
