--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,5 +1,5 @@
-"""A scheduled job overlaps with itself while a worker is down; its stored progress outgrows a
-record of the store."""
+"""A scheduled job can't finish its occurrences because the only worker of a kind is lost for good.
+Its stored progress grows with each occurrence until it outgrows a record of the store."""
 
 import json
 import sys
@@ -10,18 +10,23 @@
 from fleet import TROUBLE, call, run_case  # noqa: E402
 
 INSTANCES = ["front-1", "front-2", "front-3"]
-TASKS = 4600
-TIMES = 5
-PERIOD_S = 4.0
-DOWN_S = 4.5
-FINISH_S = 14.0
+TASKS = 400
+TIMES = 45
+CPU = 20  # Thousandths of a core, of a task of the scheduled job.
+PERIOD_S = 1.0
+LOST_AT_S = 5.0
+TRAFFIC_S = 45.0
+FINISH_S = 14.0  # Bounds.finish_s
+NOTHING_RUNS_S = 3.0
+WORKER_CPU = 32000
 
 
 def case(fleet):
     fleet.start_store()
-    for number in range(6):
-        fleet.start_runner(f"q{number}", "taller-quotes", f"r{number // 2}", 32000)
-    fleet.start_runner("o1", "taller-orders", "r1", 32000)
+    fleet.start_runner("q0", "taller-quotes", "r0", WORKER_CPU, kind="kind-b")
+    for number in range(1, 8):
+        fleet.start_runner(f"q{number}", "taller-quotes", f"r{number // 4}", WORKER_CPU)
+    fleet.start_runner("o1", "taller-orders", "r1", WORKER_CPU)
     for name in INSTANCES:
         fleet.start_instance(name)
     fleet.configure({"books": {"Service": "taller-quotes"}, "quotes": {"Service": "taller-quotes"},
@@ -31,50 +36,103 @@
     scheduled = f"{0xC000:016x}"
     start = time.time() + 1.0
     fleet.submit(INSTANCES, "books", scheduled, {
-        "Spec": json.dumps({"ms": 300, "cpu": 30}),
-        "Steps": [{"Count": TASKS, "Cpu": 30, "MemMb": 1, "EstimateMs": 300}],
+        "Spec": json.dumps({"ms": 300, "cpu": CPU}),
+        "Steps": [{"Count": TASKS, "Cpu": CPU, "MemMb": 1, "EstimateMs": 300},
+                  {"Count": 1, "Cpu": CPU, "MemMb": 1, "EstimateMs": 300, "After": [0],
+                   "Requirements": "kind-b"}],
         "Times": TIMES, "StartAtMs": int(start * 1000), "PeriodMs": int(PERIOD_S * 1000)})
-    accepted = [("books", scheduled)]
     if TROUBLE:
-        time.sleep(max(0.0, start + 0.9 - time.time()))
+        time.sleep(max(0.0, start + LOST_AT_S - time.time()))
+        fleet.log("worker q0, the only one of kind-b, is lost for good")
         fleet.kill("q0")
-        time.sleep(DOWN_S)
-        fleet.start_runner("q0", "taller-quotes", "r0", 32000)
     # Other callers hand in small jobs all the while.
+    small = hand_in(fleet, start + TRAFFIC_S)
+    ended = time.time()
+    log_sizes(fleet)
+    time.sleep(max(0.0, ended + FINISH_S - time.time()))
+    # LOST: asked finish_s after the end of the traffic, a job isn't known or gets no answer in time.
+    unanswered = {}
+    states = {}
+    for number, job in enumerate(small):
+        if time.time() > ended + FINISH_S + NOTHING_RUNS_S + 6:
+            break
+        code, text = fleet.ask(INSTANCES[number % 3], "GET", "quotes", job)
+        if code != 200:
+            unanswered[job] = code
+        states[job] = text.decode() if code == 200 else code
+    time.sleep(max(0.0, ended + FINISH_S + NOTHING_RUNS_S + 1 - time.time()))
+    log_sizes(fleet)
+    stuck = jobs_without_a_run(fleet, small, ended + FINISH_S)
+    wrong = {job: state for job, state in states.items() if "completed" not in str(state)}
+    fleet.log("small jobs:", len(small), "accepted; asked", len(states), "; not completed:",
+              json.dumps(wrong))
+    fleet.log("no answer or not known:", json.dumps(unanswered))
+    fleet.log("nothing running for", NOTHING_RUNS_S, "s though a task's turn has come:", stuck)
+    if not stuck:
+        return ""
+    return (f"LOST: {len(stuck)} accepted jobs have nothing running for {NOTHING_RUNS_S} s though "
+            f"their tasks' turn has come and the service is idle; {len(unanswered)} of "
+            f"{len(states)} GETs got no answer with a state")
+
+
+def jobs_without_a_run(fleet, jobs, since):
+    """The jobs with tasks that have not ended `done`, of which none ran in the 3 s after `since`,
+    while under half of the service's capacity was in use all the while."""
+    until = since + NOTHING_RUNS_S
+    open_runs = {}
+    spans = []  # Time of start, time of end, task.
+    done = {}
+    for when, worker, event, task, run, how in fleet.ledger():
+        if event == "start":
+            open_runs[(worker, task, run)] = when
+        elif event == "end":
+            spans.append((open_runs.pop((worker, task, run), when), when, task))
+            if how == "done":
+                done.setdefault(task, when)
+    for (worker, task, _), when in open_runs.items():
+        if worker != "q0":  # What ran on the lost worker ended with it.
+            spans.append((when, time.time(), task))
+    in_window = [span for span in spans if span[0] < until and span[1] > since]
+    edges = sorted([(max(begin, since), cpu_of(task)) for begin, _, task in in_window] +
+                   [(end, -cpu_of(task)) for _, end, task in in_window if end < until])
+    in_use, most = 0, 0
+    for _, cpu in edges:
+        in_use += cpu
+        most = max(most, in_use)
+    fleet.log("in use in the window, at most", most, "of", 7 * WORKER_CPU, "thousandths of a core")
+    if most * 2 >= 7 * WORKER_CPU:
+        return []
+    ran = {task[:16] for _, _, task in in_window}
+    return [job for job in jobs if job not in ran and
+            any(done.get(f"{job}.0.{task}", until) >= until for task in ("0.0", "0.1", "1.0"))]
+
+
+def cpu_of(task):
+    return CPU if task.startswith(f"{0xC000:016x}") else 100
+
+
+def hand_in(fleet, until):
+    accepted = []
     number = 0
-    refused = 0
-    while time.time() < start + TIMES * PERIOD_S + 4:
+    while time.time() < until:
         job = f"{0xD000 + number:016x}"
         code, _ = fleet.ask(INSTANCES[number % 3], "POST", "quotes", job, json.dumps({
             "Spec": json.dumps({"ms": 200, "cpu": 100}),
-            "Steps": [{"Count": 2, "Cpu": 100, "MemMb": 1, "EstimateMs": 200}]}))
+            "Steps": [{"Count": 2, "Cpu": 100, "MemMb": 1, "EstimateMs": 200},
+                      {"Count": 1, "Cpu": 100, "MemMb": 1, "EstimateMs": 200, "After": [0]}]}))
         if code == 200:
-            accepted.append(("quotes", job))
-        else:
-            refused += 1
+            accepted.append(job)
         number += 1
-        time.sleep(0.25)
-    fleet.log("end of the traffic;", len(accepted), "jobs accepted,", refused, "not")
-    ended = time.time()
-    time.sleep(FINISH_S)
-    missing = {}
-    for attempt in range(3):
-        missing = {}
-        for queue, job in accepted:
-            code, text = fleet.ask(INSTANCES[(attempt + len(missing)) % 3], "GET", queue, job)
-            state = json.loads(text)["State"] if code == 200 else code
-            if state != "completed":
-                missing[job] = state
-            if len(missing) > 8:
-                break
-        if not missing or time.time() > ended + 30:
-            break
-        time.sleep(2)
-    _, sizes = call(fleet.ports["store"], "GET", "/ctl/refused")
-    sizes = json.loads(sizes)
-    fleet.log("appends refused for their size:", len(sizes), "the first ones:", sizes[:3])
-    fleet.log("not completed:", json.dumps(missing))
-    return f"LOST: {missing}" if missing else ""
+        time.sleep(0.5)
+    fleet.log(len(accepted), "of", number, "small jobs accepted")
+    return accepted
+
+
+def log_sizes(fleet):
+    _, text = call(fleet.ports["store"], "GET", "/ctl/refused")
+    sizes = json.loads(text)
+    fleet.log("largest record sent to the store:", sizes["largest_record"], "bytes; appends refused "
+              "for their size:", len(sizes["refused"]))
 
 
 run_case(Path(__file__).resolve().parent, case)
--- a/review/standin/fleet.py
+++ b/review/standin/fleet.py
@@ -131,12 +131,12 @@
                              str(self.parts)])
         self.wait(lambda: call(self.ports["store"], "GET", "/ctl/refused")[0] == 200, 10, "store up")
 
-    def start_runner(self, name, service, rack, cpu):
+    def start_runner(self, name, service, rack, cpu, kind="kind-a"):
         self.runners[name] = (service, rack, cpu)
         self.ports.setdefault(name, self.port())
         self.spawn(name, [sys.executable, str(STANDIN), "runner", name, service, rack,
                           str(self.ports[name]), str(self.ports["store"]), str(self.ledger_path),
-                          str(cpu)])
+                          str(cpu), kind])
 
     def start_instance(self, name):
         if name not in self.ports:
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -1,7 +1,7 @@
 """Small stand-ins of the platform's store and of one runner, after PROTOCOL.md.
 
     standin.py store PORT PARTS
-    standin.py runner ID SERVICE RACK PORT STORE_PORT LEDGER_FILE CPU_MILLI
+    standin.py runner ID SERVICE RACK PORT STORE_PORT LEDGER_FILE CPU_MILLI KIND
 
 Both listen on 127.0.0.1. Paths below /ctl are for the script that starts them: they stand for
 events of the outside world (a cut, an outage) and are not seen by the system.
@@ -194,6 +194,7 @@
         self.runners = {}  # Id: time of the last heartbeat.
         self.down_until = 0.0
         self.refused_sizes = []
+        self.largest_record = 0
 
     def partition(self, topic, part):
         return self.topics.setdefault((topic, int(part)), Partition())
@@ -244,7 +245,7 @@
         elif path == "/ctl/down":
             self.down_until = time.monotonic() + float(query["s"])
         elif path == "/ctl/refused":
-            return 200, self.refused_sizes
+            return 200, {"largest_record": self.largest_record, "refused": self.refused_sizes}
         return 200, {}
 
     def put(self, topic, key, value):
@@ -273,6 +274,7 @@
             records.append(bytes(rest[4:4 + size]))
             rest = rest[4 + size:]
         largest = max((len(record) for record in records), default=0)
+        self.largest_record = max(self.largest_record, largest)
         if largest > RECORD_BYTES or len(body) > CALL_BYTES:
             self.refused_sizes.append([time.time(), query["Topic"], query["part"], largest,
                                        len(body)])
@@ -350,10 +352,10 @@
 class Runner(App):
     """One life of a runner. The task's `Spec` is JSON: `ms` is its time, `cpu` what it takes."""
 
-    def __init__(self, name, service, rack, port, store_port, ledger, cpu):
+    def __init__(self, name, service, rack, port, store_port, ledger, cpu, kind):
         super().__init__()
         self.id, self.service, self.rack, self.port = name, service, rack, port
-        self.store_port, self.cpu = store_port, cpu
+        self.store_port, self.cpu, self.kind = store_port, cpu, kind
         self.ledger = open(ledger, "a", buffering=1)
         self.born = int(time.time() * 1000)
         self.started = time.monotonic()
@@ -472,7 +474,7 @@
             self.sequence += 1
             entry = {"Service": self.service, "Address": f"{HOST}:{self.port}", "Zone": "z1",
                      "Version": "1", "Slots": 8, "State": "ready", "ColdLeftMs": 0,
-                     "Seq": self.sequence, "Labels": ["kind-a", self.rack], "Machine": self.id,
+                     "Seq": self.sequence, "Labels": [self.kind, self.rack], "Machine": self.id,
                      "Capacity": {"Cpu": self.cpu, "MemMb": 65536, "Gpus": 0}, "born": self.born}
             body = json.dumps(entry).encode()
             if not self.is_cut():
@@ -494,9 +496,9 @@
         app = Store(int(sys.argv[3]))
         port, tasks = int(sys.argv[2]), [app.expire_runners()]
     else:
-        name, service, rack, port, store_port, ledger, cpu = sys.argv[2:]
+        name, service, rack, port, store_port, ledger, cpu, kind = sys.argv[2:]
         port = int(port)
-        app = Runner(name, service, rack, port, int(store_port), ledger, int(cpu))
+        app = Runner(name, service, rack, port, int(store_port), ledger, int(cpu), kind)
         tasks = [app.watch_lease(), app.heartbeat()]
     server = await loop.create_server(lambda: HttpConnection(app), HOST, port, backlog=512)
     await asyncio.gather(server.serve_forever(), *tasks)
