core: the log reports the lines that it dropped

Cause: when the log buffer is full its oldest line is dropped, which only a metric counted. From the log alone a dropped line could not be told from one that was never written.

Change: the writer thread compares the buffer's counter every 256 lines and writes `event=log_lines_dropped count=N period_ms=M` in front of the next line. More lines than that are in the buffer when one is dropped, so each loss is reported. The report takes no place in the buffer, nothing waits, and the bound of the buffer is unchanged.

Ruled out: reporting with the next line that is logged. After a burst there may be none, and the report would itself need a place in a full buffer.

--- a/core/logging.cc
+++ b/core/logging.cc
@@ -5,6 +5,7 @@
 #include <spdlog/spdlog.h>
 
 #include <atomic>
+#include <chrono>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -15,7 +16,13 @@
 
 constexpr std::size_t kMaxBufferedLines = 8192;
 constexpr std::size_t kWriterThreads = 1;
+/// Interval between checks for dropped lines. The buffer is full when it drops a line, so a check
+/// follows before the logger has written what is left of it.
+constexpr std::uint64_t kLinesPerDropCheck = 256;
 
+using WriterPool = spdlog::details::thread_pool;
+
+std::shared_ptr<WriterPool> g_pool;
 std::shared_ptr<spdlog::logger> g_logger;
 std::atomic<bool> g_decisions{false};
 std::atomic<bool> g_json{false};
@@ -45,10 +52,55 @@
   return line.dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
 }
 
+std::string FormatLine(std::string_view event, std::initializer_list<LogField> fields) {
+  return g_json ? JsonLine(event, fields) : KeyValueLine(event, fields);
+}
+
+/// Writes the lines to another sink, and a report before the next line when lines were dropped.
+/// Only the writer thread calls it. The report takes no place in the buffer.
+class DropReporter final : public spdlog::sinks::sink {
+ public:
+  DropReporter(spdlog::sink_ptr target, WriterPool* pool)
+      : target_(std::move(target)), pool_(pool), checked_at_(spdlog::log_clock::now()) {}
+
+  void log(const spdlog::details::log_msg& line) override {
+    if (++lines_ % kLinesPerDropCheck == 0) CheckDrops(line);
+    target_->log(line);
+  }
+
+  void flush() override { target_->flush(); }
+  void set_pattern(const std::string& pattern) override { target_->set_pattern(pattern); }
+  void set_formatter(std::unique_ptr<spdlog::formatter> formatter) override {
+    target_->set_formatter(std::move(formatter));
+  }
+
+ private:
+  void CheckDrops(const spdlog::details::log_msg& line) {
+    const std::uint64_t dropped = pool_->overrun_counter();
+    if (dropped > reported_) {
+      const auto now = spdlog::log_clock::now();
+      const auto period = std::chrono::ceil<std::chrono::milliseconds>(now - checked_at_);
+      const std::string report = FormatLine(
+          "log_lines_dropped",
+          {{"count", Concat(dropped - reported_)}, {"period_ms", Concat(period.count())}});
+      target_->log({now, {}, line.logger_name, spdlog::level::warn, report});
+      reported_ = dropped;
+    }
+    checked_at_ = line.time;
+  }
+
+  spdlog::sink_ptr target_;
+  WriterPool* pool_;
+  std::uint64_t lines_ = 0;
+  std::uint64_t reported_ = 0;
+  /// Time of the line before which drops were last checked. Lines dropped since then are not older.
+  spdlog::log_clock::time_point checked_at_;
+};
+
 void WriteLine(spdlog::level::level_enum level, std::string_view event,
                std::initializer_list<LogField> fields) {
   if (g_logger == nullptr || !g_logger->should_log(level)) return;
-  g_logger->log(level, "{}", g_json ? JsonLine(event, fields) : KeyValueLine(event, fields));
+  g_logger->log(level, "{}", FormatLine(event, fields));
 }
 
 }  // namespace
@@ -58,16 +110,16 @@
   if (level == spdlog::level::off && options.level != "off") {
     return absl::InvalidArgumentError(Concat("unknown log level '", options.level, "'"));
   }
-  spdlog::init_thread_pool(kMaxBufferedLines, kWriterThreads);
+  g_pool = std::make_shared<WriterPool>(kMaxBufferedLines, kWriterThreads);
   spdlog::sink_ptr sink;
   if (options.to_standard_output) {
     sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
   } else {
     sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
   }
-  g_logger =
-      std::make_shared<spdlog::async_logger>("wigeonlane", std::move(sink), spdlog::thread_pool(),
-                                             spdlog::async_overflow_policy::overrun_oldest);
+  g_logger = std::make_shared<spdlog::async_logger>(
+      "wigeonlane", std::make_shared<DropReporter>(std::move(sink), g_pool.get()), g_pool,
+      spdlog::async_overflow_policy::overrun_oldest);
   g_logger->set_level(level);
   const bool json = options.format == LogFormat::kJson;
   g_logger->set_pattern(json ? "%v" : "time=%Y-%m-%dT%H:%M:%S.%e level=%l %v");
@@ -79,13 +131,11 @@
 void StopLogging() {
   g_decisions = false;
   g_logger.reset();
+  g_pool.reset();  // Waits until all buffered lines are written.
   spdlog::shutdown();
 }
 
-std::uint64_t DroppedLogLines() {
-  const auto pool = spdlog::thread_pool();
-  return pool == nullptr ? 0 : pool->overrun_counter();
-}
+std::uint64_t DroppedLogLines() { return g_pool == nullptr ? 0 : g_pool->overrun_counter(); }
 
 bool DecisionLogEnabled() { return g_decisions; }
 
--- a/core/logging.h
+++ b/core/logging.h
@@ -29,8 +29,9 @@
 };
 
 /// Starts the asynchronous logger. Its buffer is bounded: when the buffer is full, the oldest
-/// buffered line is dropped and counted, so that logging never blocks. Errors: InvalidArgument for
-/// an unknown level.
+/// buffered line is dropped, so that logging never blocks. The log reports dropped lines: a line
+/// `event=log_lines_dropped count=N period_ms=M` says that N lines of the last M ms are missing.
+/// Errors: InvalidArgument for an unknown level.
 absl::Status StartLogging(const LogOptions& options);
 
 /// Flushes and stops the logger.
