core: lines on runs do not push lines on requests out of the log

Cause: the log buffer drops its oldest line, whatever it is about. A burst of `start`, `run_end` and `free`, of which one request leads to many, pushes out the lines that say how requests were decided.

Change: a new line on a run is dropped while 2,048 of the 8,192 places are free, so that it pushes out no other line. The report names how many of the dropped lines were of runs (`of_runs`); where that is all, no line on a request is missing. The bound of the buffer is unchanged and nothing waits.

Ruled out: a second queue with a thread of its own, which costs memory and wake-ups on small instances and writes lines out of order.

--- a/core/logging.cc
+++ b/core/logging.cc
@@ -4,8 +4,10 @@
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <iterator>
 #include <memory>
 #include <nlohmann/json.hpp>
 
@@ -15,10 +17,15 @@
 namespace {
 
 constexpr std::size_t kMaxBufferedLines = 8192;
+/// Part of the buffer that lines on runs leave to all others.
+constexpr std::size_t kReservedLines = 2048;
 constexpr std::size_t kWriterThreads = 1;
-/// Interval between checks for dropped lines. The buffer is full when it drops a line, so a check
-/// follows before the logger has written what is left of it.
+/// Decisions on runs of tasks, of which one request of a caller leads to many.
+constexpr std::string_view kRunDecisions[] = {"start", "run_end", "free"};
+/// Interval between checks for dropped lines. More lines than this are in the buffer when a line is
+/// dropped, so a check always follows.
 constexpr std::uint64_t kLinesPerDropCheck = 256;
+static_assert(kLinesPerDropCheck < kMaxBufferedLines - kReservedLines);
 
 using WriterPool = spdlog::details::thread_pool;
 
@@ -26,6 +33,12 @@
 std::shared_ptr<spdlog::logger> g_logger;
 std::atomic<bool> g_decisions{false};
 std::atomic<bool> g_json{false};
+std::atomic<std::uint64_t> g_dropped_run_decisions{0};
+
+bool IsRunDecision(std::string_view kind) {
+  return std::find(std::begin(kRunDecisions), std::end(kRunDecisions), kind) !=
+         std::end(kRunDecisions);
+}
 
 bool NeedsQuotes(std::string_view value) {
   return value.empty() || value.find_first_of(" =\"\n\r\t\\") != std::string_view::npos;
@@ -76,15 +89,18 @@
 
  private:
   void CheckDrops(const spdlog::details::log_msg& line) {
-    const std::uint64_t dropped = pool_->overrun_counter();
+    const std::uint64_t of_runs = g_dropped_run_decisions;
+    const std::uint64_t dropped = pool_->overrun_counter() + of_runs;
     if (dropped > reported_) {
       const auto now = spdlog::log_clock::now();
       const auto period = std::chrono::ceil<std::chrono::milliseconds>(now - checked_at_);
-      const std::string report = FormatLine(
-          "log_lines_dropped",
-          {{"count", Concat(dropped - reported_)}, {"period_ms", Concat(period.count())}});
+      const std::string report =
+          FormatLine("log_lines_dropped", {{"count", Concat(dropped - reported_)},
+                                           {"of_runs", Concat(of_runs - reported_of_runs_)},
+                                           {"period_ms", Concat(period.count())}});
       target_->log({now, {}, line.logger_name, spdlog::level::warn, report});
       reported_ = dropped;
+      reported_of_runs_ = of_runs;
     }
     checked_at_ = line.time;
   }
@@ -93,6 +109,7 @@
   WriterPool* pool_;
   std::uint64_t lines_ = 0;
   std::uint64_t reported_ = 0;
+  std::uint64_t reported_of_runs_ = 0;
   /// Time of the line before which drops were last checked. Lines dropped since then are not older.
   spdlog::log_clock::time_point checked_at_;
 };
@@ -110,6 +127,7 @@
   if (level == spdlog::level::off && options.level != "off") {
     return absl::InvalidArgumentError(Concat("unknown log level '", options.level, "'"));
   }
+  g_dropped_run_decisions = 0;
   g_pool = std::make_shared<WriterPool>(kMaxBufferedLines, kWriterThreads);
   spdlog::sink_ptr sink;
   if (options.to_standard_output) {
@@ -135,12 +153,18 @@
   spdlog::shutdown();
 }
 
-std::uint64_t DroppedLogLines() { return g_pool == nullptr ? 0 : g_pool->overrun_counter(); }
+std::uint64_t DroppedLogLines() {
+  return g_pool == nullptr ? 0 : g_pool->overrun_counter() + g_dropped_run_decisions;
+}
 
 bool DecisionLogEnabled() { return g_decisions; }
 
 void LogDecision(std::string_view kind, std::initializer_list<LogField> fields) {
   if (!g_decisions) return;
+  if (IsRunDecision(kind) && g_pool->queue_size() >= kMaxBufferedLines - kReservedLines) {
+    ++g_dropped_run_decisions;
+    return;
+  }
   WriteLine(spdlog::level::info, kind, fields);
 }
 
--- a/core/logging.h
+++ b/core/logging.h
@@ -28,10 +28,12 @@
   std::string value;
 };
 
-/// Starts the asynchronous logger. Its buffer is bounded: when the buffer is full, the oldest
-/// buffered line is dropped, so that logging never blocks. The log reports dropped lines: a line
-/// `event=log_lines_dropped count=N period_ms=M` says that N lines of the last M ms are missing.
-/// Errors: InvalidArgument for an unknown level.
+/// Starts the asynchronous logger. Its buffer is bounded, so that logging never blocks: when the
+/// buffer is full, the oldest buffered line is dropped. New decisions on runs of tasks ("start",
+/// "run_end", "free") are dropped before it is full, so that they push out no other line. The log
+/// reports dropped lines: `event=log_lines_dropped count=N of_runs=R period_ms=M` says that N lines
+/// of the last M ms are missing, R of them such decisions. Errors: InvalidArgument for an unknown
+/// level.
 absl::Status StartLogging(const LogOptions& options);
 
 /// Flushes and stops the logger.
--- a/tests/core/logging_test.cc
+++ b/tests/core/logging_test.cc
@@ -1,6 +1,6 @@
 /// Writes more lines than the log buffer holds while nobody reads the log. Guards against a log in
-/// which a dropped line looks like one that was never written, and against a logger that blocks
-/// (the tests would hang).
+/// which a dropped line looks like one that was never written, against lines on callers' requests
+/// that make room for lines on runs, and against a logger that blocks (the tests would hang).
 #include "core/logging.h"
 
 #include <unistd.h>
@@ -19,7 +19,7 @@
 
 /// More than the buffer and a pipe hold together.
 constexpr int kTooManyLines = 20'000;
-constexpr int kFewLines = 100;
+constexpr int kRunsPerRequest = 100;
 
 class LoggingTest {
  protected:
@@ -83,12 +83,33 @@
 }
 
 TEST_CASE_METHOD(LoggingTest, "Log_FewerLinesThanItsBuffer_AreAllWritten") {
-  for (int i = 0; i < kFewLines; ++i) LogDecision("start", {{"n", std::to_string(i)}});
+  for (int i = 0; i < kRunsPerRequest; ++i) LogDecision("start", {{"n", std::to_string(i)}});
   CHECK(DroppedLogLines() == 0);
   const InstanceLog log = StopAndRead();
-  CHECK(CountOf(log, "start") == kFewLines);
+  CHECK(CountOf(log, "start") == kRunsPerRequest);
   CHECK(CountOf(log, "log_lines_dropped") == 0);
 }
 
+TEST_CASE_METHOD(LoggingTest, "Log_RunsFillItsBuffer_LinesOnRequestsAreKept") {
+  const std::array<std::string_view, 5> request_events{"call", "accept", "cancel", "refuse",
+                                                       "job_final"};
+  const std::array<std::string_view, 3> run_events{"start", "run_end", "free"};
+  for (int i = 0; i < kTooManyLines; ++i) {
+    LogDecision(run_events[i % run_events.size()], {{"n", std::to_string(i)}});
+    if (i % kRunsPerRequest != 0) continue;
+    for (const std::string_view event : request_events) LogDecision(event, {});
+  }
+  const InstanceLog log = StopAndRead();
+  for (const std::string_view event : request_events) {
+    CAPTURE(std::string(event));
+    CHECK(CountOf(log, event) == kTooManyLines / kRunsPerRequest);
+  }
+  std::int64_t runs_written = 0;
+  for (const std::string_view event : run_events) runs_written += CountOf(log, event);
+  CHECK(runs_written < kTooManyLines);
+  CHECK(runs_written + Reported(log, "count") == kTooManyLines);
+  CHECK(Reported(log, "of_runs") == Reported(log, "count"));
+}
+
 }  // namespace
 }  // namespace wigeonlane
