--- a/tools/job_fleet.py
+++ b/tools/job_fleet.py
@@ -71,13 +71,14 @@
         for index in range(count):
             self.start_instance(f"instance{index}")
 
-    def start_instance(self, name):
+    def start_instance(self, name, store_port=None):
+        """Starts an instance that calls the store at `store_port`, by default directly."""
         front, ready = free_ports(2)
         peers = free_port_pair()
         path = self.directory / f"{name}.conf"
         path.write_text(SETTINGS.format(name=name, front=front, ready=ready, peers=peers,
-                                        metrics=peers + 1, store=self.store_port,
-                                        parts=self.parts))
+                                        metrics=peers + 1, parts=self.parts,
+                                        store=store_port or self.store_port))
         self.entries[name] = self._add(
             name, [self.build / "daemon/wigeonlaned", "jobs"],
             {"http": front, "ready": ready, "metrics": peers + 1},
