tests: the cell world's callers reach former owners, submit late, and take 410 for a cancel

Its oracle counted only kCancelled as an acknowledged cancel, so a start after a cancel answered kNotFound (410) broke nothing. Calls always reached the newest owner, no submission arrived later than a cancel of its job, and the state of a job was asked for only at the end.

Change: kNotFound acknowledges a cancel, any other verdict does not. Submissions, cancels and a new command Show reach any owner that serves callers, former ones without renewals among them. A new command DelaySubmissions lets callers give up submissions that arrive up to 12.6 s later. An owner may not deny a job later than 3 s after its acceptance was acknowledged. At the end nothing may run of a job whose cancel was acknowledged. A job with a submission that was given up is not taken for refused by all.

--- a/tests/cells/cell_fuzz_test.cc
+++ b/tests/cells/cell_fuzz_test.cc
@@ -16,9 +16,15 @@
 constexpr int kMaxCommandsPerRun = 200;
 constexpr std::uint64_t kMinCommands = 200'000;
 
-WIGEONLANE_WORLD_COMMAND(CellWorld, Submit, world->Submit(a, b));
-WIGEONLANE_WORLD_COMMAND(CellWorld, Repeat, world->Repeat(a));
-WIGEONLANE_WORLD_COMMAND(CellWorld, Cancel, if (b < 24) world->Cancel(a));
+/// Most calls reach the newest owner; the others any one that serves callers.
+std::size_t OwnerChoice(std::size_t number) { return number < 40 ? 0 : number; }
+
+WIGEONLANE_WORLD_COMMAND(CellWorld, Submit, world->Submit(a, b, OwnerChoice(c)));
+WIGEONLANE_WORLD_COMMAND(CellWorld, Repeat, world->Repeat(a, OwnerChoice(c)));
+WIGEONLANE_WORLD_COMMAND(CellWorld, Cancel, if (b < 24) world->Cancel(a, OwnerChoice(c)));
+WIGEONLANE_WORLD_COMMAND(CellWorld, Show, world->Show(a, OwnerChoice(c)));
+WIGEONLANE_WORLD_COMMAND(CellWorld, DelaySubmissions,
+                         world->DelaySubmissions(a % 3, milliseconds(200 * b)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, Step, world->Advance(milliseconds(1 + a)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, Wait, world->Advance(milliseconds(50 * a)));
 WIGEONLANE_WORLD_COMMAND(CellWorld, TakeOver, if (b < 24) world->TakeOver(a < 32));
@@ -44,12 +50,13 @@
  protected:
   static void FuzzOnce() {
     CellWorld world;
-    rc::state::check(NoModel(), world,
-                     rc::state::gen::execOneOfWithArgs<
-                         Submit, Submit, Submit, Repeat, Cancel, Step, Step, Wait, Wait, TakeOver,
-                         HandOver, Freeze, CrashRunner, RestartRunner, CutRunner, CutFromSuccessors,
-                         LoseOwners, ChangeGroup, SetTermObservationDelay, DrainRunner,
-                         ReserveRunner, DelayCommands, LoseAppendResponses, StoreDown>());
+    rc::state::check(
+        NoModel(), world,
+        rc::state::gen::execOneOfWithArgs<
+            Submit, Submit, Submit, Repeat, Cancel, Show, DelaySubmissions, Step, Step, Wait, Wait,
+            TakeOver, HandOver, Freeze, CrashRunner, RestartRunner, CutRunner, CutFromSuccessors,
+            LoseOwners, ChangeGroup, SetTermObservationDelay, DrainRunner, ReserveRunner,
+            DelayCommands, LoseAppendResponses, StoreDown>());
     world.EndFaultsAndCheck();
     if (!world.broken().empty()) RC_FAIL(world.broken());
   }
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -229,19 +229,23 @@
 
 void CellWorld::HandleResponse(Owner* owner, const PendingCallResponse& response) {
   if (const auto submit = owner->submits.find(response.call); submit != owner->submits.end()) {
-    const JobId id = submit->second;
+    const JobId id = submit->second.job;
+    const bool caller_waits = submit->second.awaited;
     owner->submits.erase(submit);
-    if (response.response.verdict == CallVerdict::kAccepted) oracle_.Accepted(id);
+    if (response.response.verdict == CallVerdict::kAccepted && caller_waits) {
+      oracle_.Accepted(id, now_);
+    }
     const bool awaited = std::any_of(owners_.begin(), owners_.end(), [&](const auto& each) {
       return std::any_of(each->submits.begin(), each->submits.end(),
-                         [&](const auto& call) { return call.second == id; });
+                         [&](const auto& call) { return call.second.job == id; });
     });
     // An owner that ended before it responded to another submission of the job may have stored it.
     if (response.response.verdict == CallVerdict::kRefused && !awaited) oracle_.Refused(id);
   }
   if (const auto cancel = owner->cancels.find(response.call); cancel != owner->cancels.end()) {
-    if (response.response.verdict == CallVerdict::kCancelled) {
-      oracle_.CancelAcknowledged(cancel->second, now_);
+    const CallVerdict verdict = response.response.verdict;
+    if (verdict == CallVerdict::kCancelled || verdict == CallVerdict::kNotFound) {
+      oracle_.CancelAcknowledged(cancel->second, verdict, now_);
     }
     owner->cancels.erase(cancel);
   }
@@ -428,17 +432,46 @@
   return listings;
 }
 
-void CellWorld::SubmitTo(std::size_t index, const Submitted& job) {
-  OnOwner(index, [=, this](Owner* owner) {
-    if (owner->cell == nullptr || owner->cell->deposed()) return;
+std::size_t CellWorld::ChooseOwner(std::size_t choice) const {
+  if (choice == 0) return owners_.size() - 1;
+  std::vector<std::size_t> serving;
+  for (std::size_t index = owners_.size(); index-- > 0;) {
+    const Owner& owner = *owners_[index];
+    if (!owner.alive || owner.released) continue;
+    if (owner.cell != nullptr && !owner.cell->deposed()) serving.push_back(index);
+  }
+  return serving.empty() ? owners_.size() - 1 : serving[choice % serving.size()];
+}
+
+void CellWorld::OnServingOwner(std::size_t choice, const std::function<void(Owner*)>& action) {
+  const std::size_t index = ChooseOwner(choice);
+  OnOwner(index, [this, index, action](Owner* owner) {
+    if (owner->cell == nullptr || owner->cell->deposed() || owner->released) return;
+    action(owner);
+    Pump(index);
+  });
+}
+
+void CellWorld::Send(const Submitted& job, std::size_t choice) {
+  if (delayed_submissions_ == 0) return Deliver(job, choice, true);
+  --delayed_submissions_;
+  oracle_.SubmissionGivenUp(job.id);
+  After(submission_delay_, [this, job, choice] { Deliver(job, choice, false); });
+}
+
+void CellWorld::Deliver(const Submitted& job, std::size_t choice, bool awaited) {
+  OnServingOwner(choice, [this, job, awaited](Owner* owner) {
     oracle_.MaybeAccepted(job.id);
-    owner->submits[++last_call_] = job.id;
+    owner->submits[++last_call_] = {job.id, awaited};
     owner->cell->Submit(last_call_, job.id, job.record, Time());
-    Pump(index);
   });
 }
 
-void CellWorld::Submit(std::size_t shape, std::size_t outcome_seed) {
+CallResponse CellWorld::ShowAt(const Owner& owner, const JobId& id) const {
+  return owner.cell->Show(id);
+}
+
+void CellWorld::Submit(std::size_t shape, std::size_t outcome_seed, std::size_t owner) {
   std::string digits(JobId::kLength, '0');
   const std::string number = std::to_string(submitted_.size());
   digits.replace(digits.size() - number.size(), number.size(), number);
@@ -452,26 +485,35 @@
   job.record.policy.target_latency = milliseconds(600);
   submitted_.push_back(job);
   oracle_.Submitted(job.id, job.record);
-  SubmitTo(owners_.size() - 1, job);
+  Send(job, owner);
 }
 
-void CellWorld::Repeat(std::size_t which) {
-  if (!submitted_.empty()) SubmitTo(owners_.size() - 1, submitted_[which % submitted_.size()]);
+void CellWorld::Repeat(std::size_t which, std::size_t owner) {
+  if (!submitted_.empty()) Send(submitted_[which % submitted_.size()], owner);
 }
 
-void CellWorld::Cancel(std::size_t which) {
+void CellWorld::Cancel(std::size_t which, std::size_t owner) {
   if (submitted_.empty()) return;
   const JobId id = submitted_[which % submitted_.size()].id;
-  const std::size_t index = owners_.size() - 1;
-  OnOwner(index, [=, this](Owner* owner) {
-    if (owner->cell == nullptr || owner->cell->deposed()) return;
+  OnServingOwner(owner, [this, id](Owner* serving) {
     oracle_.CancelSent(id);
-    owner->cancels[++last_call_] = id;
-    owner->cell->Cancel(last_call_, id, Time());
-    Pump(index);
+    serving->cancels[++last_call_] = id;
+    serving->cell->Cancel(last_call_, id, Time());
   });
 }
 
+void CellWorld::Show(std::size_t which, std::size_t owner) {
+  if (submitted_.empty()) return;
+  const JobId id = submitted_[which % submitted_.size()].id;
+  OnServingOwner(owner,
+                 [this, id](Owner* serving) { oracle_.Shown(id, ShowAt(*serving, id), now_); });
+}
+
+void CellWorld::DelaySubmissions(std::size_t count, milliseconds delay) {
+  delayed_submissions_ = count;
+  submission_delay_ = delay;
+}
+
 void CellWorld::KillOwner() { owners_.back()->alive = false; }
 
 void CellWorld::TakeOver(bool former_killed) {
@@ -512,8 +554,12 @@
 }
 
 void CellWorld::FinishHandOver(std::size_t index, Instant until) {
-  if (index + 1 != owners_.size()) return;  // Another owner has taken over the cell meanwhile.
+  if (index + 1 != owners_.size()) {  // Another owner has taken over the cell meanwhile.
+    owners_[index]->released = true;
+    return;
+  }
   if (owners_[index]->cell->flushed() || now_ >= until) {
+    owners_[index]->released = true;
     return StartOwner(generation_ + kTokenStep);
   }
   After(milliseconds(5), [this, index, until] { FinishHandOver(index, until); });
@@ -555,6 +601,10 @@
 void CellWorld::LoseAppendResponses(std::size_t count) { lost_append_responses_ = count; }
 void CellWorld::StoreDown(milliseconds duration) { store_.down_until = now_ + duration; }
 
+bool CellWorld::CancelAcknowledged(std::size_t job) const {
+  return oracle_.WasCancelled(submitted_[job].id);
+}
+
 std::vector<std::size_t> CellWorld::RunnersOf(std::size_t job) const {
   std::vector<std::size_t> hosts;
   for (std::size_t i = 0; i < runners_.size(); ++i) {
@@ -567,17 +617,17 @@
 }
 
 void CellWorld::EndFaultsAndCheck() {
-  delayed_commands_ = lost_append_responses_ = 0;
+  delayed_commands_ = lost_append_responses_ = delayed_submissions_ = 0;
   for (SimRunner& runner : runners_) {
     runner.listing.draining = false;
     if (!runner.alive) runner.Restart(now_, &oracle_);
   }
   Advance(kRecoveryTime);
-  const Cell* cell = owners_.back()->cell.get();
   for (const Submitted& job : submitted_) {
     oracle_.CheckRefused(job.id);
-    const CallResponse response = cell->Show(job.id);
-    oracle_.Shown(job.id, response);
+    oracle_.CheckCancelled(job.id);
+    const CallResponse response = ShowAt(*owners_.back(), job.id);
+    oracle_.ShownAtEnd(job.id, response);
     if (response.verdict != CallVerdict::kShown) continue;
     const bool long_running = job.record.spec.steps[0].long_running;
     if (long_running && response.state == JobState::kRunning) continue;
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -30,10 +30,18 @@
   void Advance(std::chrono::milliseconds step);
 
   /// A caller submits a job. The numbers determine its steps and the outcomes of its tasks.
-  void Submit(std::size_t shape, std::size_t outcome_seed);
+  /// Here and below, `owner` says whom the call reaches: 0 is the newest owner, other numbers
+  /// choose one of all owners that serve callers, former ones without renewals among them.
+  void Submit(std::size_t shape, std::size_t outcome_seed, std::size_t owner = 0);
   /// A caller submits an earlier job again under the same id.
-  void Repeat(std::size_t which);
-  void Cancel(std::size_t which);
+  void Repeat(std::size_t which, std::size_t owner = 0);
+  /// A caller cancels a job, whether or not its submission has arrived or was accepted.
+  void Cancel(std::size_t which, std::size_t owner = 0);
+  /// A caller asks for the state of a job.
+  void Show(std::size_t which, std::size_t owner = 0);
+  /// The callers of the next `count` submissions give up. The submissions are on their way for
+  /// `delay`, and then reach one of the owners of that time.
+  void DelaySubmissions(std::size_t count, std::chrono::milliseconds delay);
 
   /// The owner's process is killed. The cell has no owner until it is taken over.
   void KillOwner();
@@ -77,22 +85,30 @@
   void EndFaultsAndCheck();
 
   std::size_t jobs() const { return submitted_.size(); }
+  /// Whether a cancel of the job was answered with 2xx or 410.
+  bool CancelAcknowledged(std::size_t job) const;
   /// Returns the index of the runner of each present run of a job.
   std::vector<std::size_t> RunnersOf(std::size_t job) const;
   const Cell* cell() const;
 
  private:
+  struct Submission {
+    JobId job;
+    bool awaited = true;  ///< The caller still waits for the response.
+  };
+
   struct Owner {
     std::unique_ptr<Cell> cell;
     TermToken token = 0;
     bool alive = true;
     bool handing_over = false;  ///< It gave up its authority for a handover.
+    bool released = false;      ///< The handover is over, so it serves no callers.
     Instant assigned_at{};      ///< When the cell was assigned to it.
     std::optional<std::chrono::milliseconds> observation_delay;  ///< See `SetTermObservationDelay`.
     std::vector<RunnerListing> listed;  ///< The listings that it received last.
     Instant frozen_until{};
     Instant next_wake{};  ///< Time of the pending wake-up; in the past if there is none.
-    std::map<CallNumber, JobId> submits;
+    std::map<CallNumber, Submission> submits;
     std::map<CallNumber, JobId> cancels;
   };
 
@@ -146,7 +162,13 @@
   bool IsCut(std::size_t owner, const SimRunner& runner) const;
   std::vector<RunnerListing> Listings() const;
   void ListRunners();
-  void SubmitTo(std::size_t owner, const Submitted& job);
+  /// Index of the owner that a call reaches; see `Submit`.
+  std::size_t ChooseOwner(std::size_t choice) const;
+  /// Runs `action` on the chosen owner if it serves callers.
+  void OnServingOwner(std::size_t choice, const std::function<void(Owner*)>& action);
+  void Send(const Submitted& job, std::size_t choice);
+  void Deliver(const Submitted& job, std::size_t choice, bool awaited);
+  CallResponse ShowAt(const Owner& owner, const JobId& id) const;
 
   Instant now_;
   std::multimap<Instant, std::function<void()>> events_;
@@ -166,6 +188,8 @@
   TermToken generation_ = 0;  ///< Token of an owner that starts in the present generation.
   std::size_t delayed_commands_ = 0;
   std::size_t lost_append_responses_ = 0;
+  std::size_t delayed_submissions_ = 0;
+  std::chrono::milliseconds submission_delay_{0};
   std::uint64_t mix_ = 1;  ///< Varies latencies deterministically.
 };
 
--- a/tests/cells/job_oracle.h
+++ b/tests/cells/job_oracle.h
@@ -2,7 +2,9 @@
 #ifndef WIGEONLANE_TESTS_CELLS_JOB_ORACLE_H_
 #define WIGEONLANE_TESTS_CELLS_JOB_ORACLE_H_
 
+#include <chrono>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -16,11 +18,25 @@
   const std::string& first_violation() const { return first_violation_; }
 
   void Submitted(const JobId& id, const JobRecord& record) { jobs_[id].record = record; }
-  void Accepted(const JobId& id) { jobs_[id].accepted = true; }
+  /// Records that the acceptance of the job was acknowledged to a caller.
+  void Accepted(const JobId& id, Instant now) {
+    ObservedJob& job = jobs_[id];
+    job.accepted = true;
+    if (!job.accepted_at) job.accepted_at = now;
+  }
   void MaybeAccepted(const JobId& id) { jobs_[id].maybe_accepted = true; }
   /// Records that every submission of the job was refused.
   void Refused(const JobId& id) { jobs_[id].maybe_accepted = false; }
-  void CancelAcknowledged(const JobId& id, Instant now) { jobs_[id].cancelled.emplace(now); }
+  /// Records that a caller gave up a submission, which may still reach an owner.
+  void SubmissionGivenUp(const JobId& id) { jobs_[id].given_up = true; }
+  /// Records that a cancel was acknowledged with 2xx (kCancelled) or 410 (kNotFound). The first
+  /// acknowledgement counts.
+  void CancelAcknowledged(const JobId& id, CallVerdict verdict, Instant now) {
+    ObservedJob& job = jobs_[id];
+    if (job.cancelled) return;
+    job.cancelled = now;
+    job.cancel_verdict = verdict;
+  }
   bool Knows(const JobId& id) const { return jobs_.contains(id); }
   bool WasAccepted(const JobId& id) const { return jobs_.at(id).accepted; }
   bool WasCancelled(const JobId& id) const { return jobs_.at(id).cancelled.has_value(); }
@@ -50,7 +66,10 @@
       Break("BUDGET: a start after all attempts of ", task);
     }
     if (!late && job.cancelled && now > *job.cancelled + kCancelTime) {
-      Break("UNASKED: a start long after cancelling of ", task);
+      Break(job.cancel_verdict == CallVerdict::kNotFound
+                ? "UNASKED: a start long after a cancel answered 410 of "
+                : "UNASKED: a start long after a cancel answered 2xx of ",
+            task);
     }
     running_.insert(task);
   }
@@ -79,15 +98,19 @@
   /// Records that no owner can learn this result: the runner crashed or its lease ended.
   void Discarded(std::uint64_t number) { unacknowledged_.erase(number); }
 
-  void Shown(const JobId& id, const CallResponse& response) {
+  /// Records what an owner answered to a caller at any time.
+  void Shown(const JobId& id, const CallResponse& response, Instant now) {
     const ObservedJob& job = jobs_.at(id);
-    if (response.verdict == CallVerdict::kNotFound && job.accepted) Break("LOST: unknown ", {id});
-    if (response.verdict != CallVerdict::kShown) return;
-    if (response.state == JobState::kCompleted && !AllDone(id)) Break("MIXED: not done ", {id});
-    if (response.state == JobState::kFailed && !AnyExhausted(id)) Break("LOST: failed ", {id});
-    if (response.state == JobState::kCancelled && !job.cancelled && !job.cancel_sent) {
-      Break("LOST: cancelled by nobody ", {id});
+    if (IsUnknown(response) && job.accepted_at && now > *job.accepted_at + kVisibleTime) {
+      Break("LOST: unknown long after its acceptance ", {id});
     }
+    CheckState(id, response);
+  }
+
+  /// Records what the owner answers once all faults have ended.
+  void ShownAtEnd(const JobId& id, const CallResponse& response) {
+    if (IsUnknown(response) && jobs_.at(id).accepted) Break("LOST: unknown ", {id});
+    CheckState(id, response);
   }
 
   void CancelSent(const JobId& id) { jobs_[id].cancel_sent = true; }
@@ -96,7 +119,7 @@
   /// Checks at the end that a refused job never ran, unless a repeated submission was accepted.
   void CheckRefused(const JobId& id) {
     const ObservedJob& job = jobs_.at(id);
-    if (job.accepted || job.maybe_accepted) return;
+    if (job.accepted || job.maybe_accepted || job.given_up) return;
     for (const auto& task : running_) {
       if (task.job == id) Break("REFUSED: runs though refused: ", task);
     }
@@ -105,6 +128,14 @@
     }
   }
 
+  /// Checks at the end that nothing is running of a job whose cancel was acknowledged.
+  void CheckCancelled(const JobId& id) {
+    if (!WasCancelled(id)) return;
+    for (const auto& task : running_) {
+      if (task.job == id) Break("UNASKED: still running after a cancel: ", task);
+    }
+  }
+
   void Lost(const JobId& id, const std::string& reason) { Break("LOST: " + reason + " ", {id}); }
 
   void Overfull(const std::string& runner) {
@@ -113,15 +144,35 @@
 
  private:
   static constexpr std::chrono::milliseconds kCancelTime{3'000};
+  /// How long after its acceptance an owner may not know a job yet (platform: visible_ms).
+  static constexpr std::chrono::milliseconds kVisibleTime{3'000};
 
   struct ObservedJob {
     JobRecord record;
     bool accepted = false;
     bool maybe_accepted = false;
+    bool given_up = false;  ///< A caller did not wait for the response to a submission.
     bool cancel_sent = false;
+    std::optional<Instant> accepted_at;
     std::optional<Instant> cancelled;
+    CallVerdict cancel_verdict = CallVerdict::kCancelled;
   };
 
+  static bool IsUnknown(const CallResponse& response) {
+    return response.verdict == CallVerdict::kNotFound;
+  }
+
+  /// Checks the state in an answer against the runs that were observed.
+  void CheckState(const JobId& id, const CallResponse& response) {
+    const ObservedJob& job = jobs_.at(id);
+    if (response.verdict != CallVerdict::kShown) return;
+    if (response.state == JobState::kCompleted && !AllDone(id)) Break("MIXED: not done ", {id});
+    if (response.state == JobState::kFailed && !AnyExhausted(id)) Break("LOST: failed ", {id});
+    if (response.state == JobState::kCancelled && !job.cancelled && !job.cancel_sent) {
+      Break("LOST: cancelled by nobody ", {id});
+    }
+  }
+
   bool AllDone(const JobId& id) const {
     const JobSpec& spec = jobs_.at(id).record.spec;
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
