cells, platform: the log tells who acknowledged a cancel, an acceptance and a start

Cause: after an acknowledged cancel nobody could tell from the logs who had decided it and on what. `call` had neither cell nor owner; `cancel` was written only for a job that was known and open, so a 410 and a cancel of an ended job left no line at the owner; accept and start had no token.

No new wake-ups, no change of any decision; the calls between instances are encoded as before.

--- a/cells/call_router.h
+++ b/cells/call_router.h
@@ -92,7 +92,8 @@
     const auto owner = hooks_.owner(attempt->call.cell);
     if (!owner) return Retry(attempt, CallVerdict::kNotOwner);
     if (*owner == self_) {
-      return hooks_.serve(attempt->call, [this, attempt](const CallResponse& response) {
+      return hooks_.serve(attempt->call, [this, attempt](CallResponse response) {
+        response.decided_by = self_;
         HandleResponse(attempt, response);
       });
     }
@@ -106,8 +107,11 @@
   static CallResponse ParseResponse(const FrameOutcome& outcome, Attempt* attempt,
                                     const Endpoint& owner) {
     if (outcome.response.ok()) {
-      const auto response = Decode<CallResponse>(*outcome.response);
-      if (response.ok()) return *response;
+      auto response = Decode<CallResponse>(*outcome.response);
+      if (response.ok()) {
+        response->decided_by = owner;
+        return *std::move(response);
+      }
     }
     const std::string reason =
         outcome.response.ok() ? "unreadable response" : MessageOf(outcome.response.status());
--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -157,6 +157,7 @@
 
 void Cell::Cancel(CallNumber call, const JobId& id, CellTime time) {
   JobEntry* entry = FindJob(id);
+  LogCancel(id, entry == nullptr ? "unknown" : JobStateName(entry->job.state()), time.now);
   if (entry == nullptr) return Respond(call, {CallVerdict::kNotFound});
   if (IsFinal(entry->stored_state)) {
     return Respond(call, {CallVerdict::kCancelled, entry->stored_state});
@@ -167,10 +168,17 @@
   }
   entry->job.Cancel();
   MarkDirty(entry);
-  LogDecision("cancel", {{"job", std::string(id.text())}, {"cell", Concat(number_)}});
   StopJob(entry, time.now);
 }
 
+void Cell::LogCancel(const JobId& id, std::string_view state, Instant now) const {
+  LogDecision("cancel", {{"job", std::string(id.text())},
+                         {"cell", Concat(number_)},
+                         {"token", Concat(token_)},
+                         {"state", std::string(state)},
+                         {"renewed_ms", Concat(MillisSinceRenewal(now))}});
+}
+
 CallResponse Cell::Show(const JobId& id) const {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return {CallVerdict::kNotFound};
@@ -297,7 +305,9 @@
     RecordArrival(entry->job, time.now);
     LogDecision("accept", {{"job", std::string(update.job.text())},
                            {"cell", Concat(number_)},
+                           {"token", Concat(token_)},
                            {"queue", entry->job.policy().name},
+                           {"renewed_ms", Concat(MillisSinceRenewal(time.now))},
                            {"commit_ms", Concat(MillisOf(time.now - entry->accepted_at))}});
   }
   for (const CallNumber call : std::exchange(entry->accept_calls, {})) {
@@ -313,6 +323,7 @@
   if (update.state == JobState::kCompleted) ++counters_.completed;
   LogDecision("job_final", {{"job", std::string(update.job.text())},
                             {"cell", Concat(number_)},
+                            {"token", Concat(token_)},
                             {"state", std::string(JobStateName(update.state))},
                             {"age_ms", Concat(MillisOf(time.now - entry->accepted_at))}});
   for (const CallNumber call : std::exchange(entry->cancel_calls, {})) {
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -213,6 +213,10 @@
   bool HasAuthority(Instant now) const {
     return !deposed_ && !handover_record_present_ && now < authority_until_;
   }
+  /// Time since the last confirmed renewal of this term was sent, for the log.
+  std::int64_t MillisSinceRenewal(Instant now) const {
+    return MillisOf(now - (authority_until_ - options_.authority));
+  }
   /// The latest time at which a lease may end. A successor waits only until then.
   Instant LeaseLimit() const {
     return authority_until_ + (options_.max_lease_after_renewal - options_.authority);
@@ -236,6 +240,7 @@
   BatchNumber MarkDirty(JobEntry* entry);
   void FlushDirty();
   void Refuse(CallNumber call, const JobId& id, std::string_view reason);
+  void LogCancel(const JobId& id, std::string_view state, Instant now) const;
   void RefuseUnsentJobs();
   void WithdrawJob(const JobId& id);
   void FinishBatch(CellTime time);
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -351,6 +351,8 @@
                         {"task", id.ToString()},
                         {"run", Concat(run)},
                         {"runner", runner->listing.id},
+                        {"cell", Concat(number_)},
+                        {"token", Concat(token_)},
                         {"free_cpu", Concat(runner->Free().cpu_milli)},
                         {"report_age_ms", Concat(MillisOf(time.now - runner->clock_read_at))}});
   outbox_.starts.push_back(std::move(command));
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -193,6 +193,8 @@
   /// With kOutdated: the oldest survey that would have sufficed; 0 if a survey would not help.
   std::uint64_t required_survey = 0;
   bool stored = true;  ///< With `state`: the job is stored, so it cannot be refused any more.
+  /// The instance that made the response. Set by the `CallRouter` that received it; not sent.
+  Endpoint decided_by = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -182,6 +182,8 @@
   /// Renewals per time to live, so that two of them may be lost.
   static constexpr int kRenewalsPerTtl = 4;
   static constexpr std::chrono::milliseconds kRejoinRetryDelay{200};
+  /// Shorter delays of a renewal are common on a loaded instance.
+  static constexpr std::chrono::milliseconds kMinReportedPause{500};
   /// Instances start within 0.3 s of each other, so larger ones have joined after this delay.
   static constexpr std::chrono::milliseconds kInitialStandbyDelay{1'500};
   /// Interval between reads of the list of owners while standing by. A call that finds no owner
@@ -350,12 +352,22 @@
   }
 
   void Schedule() {
+    const Instant due = clock_->Now() + renewal_interval();
     timer_.expires_after(renewal_interval());
-    timer_.async_wait([this](asio::error_code error) {
-      if (!error && !renewing_ && !leaving_ && !standby_) Renew();
+    timer_.async_wait([this, due](asio::error_code error) {
+      if (error) return;
+      LogIfLate(due);
+      if (!renewing_ && !leaving_ && !standby_) Renew();
     });
   }
 
+  /// Logs that this process did not run when its renewal was due, because it was frozen or had no
+  /// processor time.
+  void LogIfLate(Instant due) const {
+    const Duration late = clock_->Now() - due;
+    if (late >= kMinReportedPause) LogInfo("process_paused", {{"late_ms", Concat(MillisOf(late))}});
+  }
+
   /// Unique among all terms of all cells, and higher than any earlier token of this cell.
   TermToken TokenOf(CellNumber cell) const { return generation_ * options_.cells + cell; }
 
