cells: an acknowledged cancel is final, also for an id that the owner does not hold

Cause: an owner answered "not found" from memory, and callers take 410 for an acknowledgement. That answer does not stay true: (1) a former owner that the store turns away does not know what its successor has accepted; (2) a submission may arrive after the cancel (repeated, or read late by an instance that was frozen); (3) a job that was withdrawn because an append hung was answered 410 although its submission may come again. One class of fault: a decision about something absent, taken without authority and kept by nobody.

Change: a cancel of an id that the cell does not hold stores the id first (`CancelledIds`, key 'x' + id), and 410 is sent once that is stored. The append is fenced, so a former owner cannot send it, and successors restore the record. A later submission, here, at a successor or after the queue has moved (`kCancelledUnseen`), is accepted as a cancelled job and starts nothing. Cancels of a withdrawn job are refused (503). "Not found" in response to a GET is said only while the membership cannot have ended. Bounded: 10,000 ids a cell, kept as long as a finished job; no write for a start, a submission or the cancel of a known job beyond its state.

Ruled out: authority by time alone (2 stays), a check that the caller is still connected or a deadline from the time of reading (an instance that was frozen cannot tell how long a request waited in its socket).

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -77,10 +77,16 @@
   jobs_.erase(found);
 }
 
+bool Cell::Holds(const JobId& id) const {
+  const CancelledIds::Entry* cancelled = cancelled_ids_.Find(id);
+  return jobs_.contains(id) || (cancelled != nullptr && cancelled->submission_stored);
+}
+
 std::vector<QueueService> Cell::HeldQueues() const {
-  std::vector<QueueService> queues;
-  for (const auto& [queue, jobs] : jobs_by_queue_) queues.push_back(queue);
-  return queues;
+  std::set<QueueService> queues;
+  for (const auto& [queue, jobs] : jobs_by_queue_) queues.insert(queue);
+  cancelled_ids_.AddQueues(&queues);
+  return {queues.begin(), queues.end()};
 }
 
 void Cell::Respond(CallNumber call, CallResponse response) {
@@ -93,6 +99,9 @@
     existing->accept_calls.push_back(call);
     return;
   }
+  if (CancelledIds::Entry* cancelled = cancelled_ids_.Find(id)) {
+    return SubmitCancelled(call, id, cancelled, time);
+  }
   const bool stalled = commits_.StallDuration(time.now) > options_.commit_stall_timeout;
   if (stalled || !HasAuthority(time.now)) {
     return Refuse(call, id, stalled ? "store_stalled" : "no_authority");
@@ -139,9 +148,10 @@
   }
 }
 
-/// Forgets a job that is not stored and never will be.
+/// Forgets a job that is not stored. Its cancellations are refused: they are not stored either, and
+/// the job may be submitted again.
 void Cell::WithdrawJob(const JobId& id) {
-  for (const CallNumber call : jobs_.at(id)->cancel_calls) Respond(call, {CallVerdict::kNotFound});
+  for (const CallNumber call : jobs_.at(id)->cancel_calls) Refuse(call, id, "job_withdrawn");
   commits_.Withdraw(JobKey(id));
   commits_.Withdraw(ProgressKey(id));
   dirty_.erase(id);
@@ -155,33 +165,21 @@
   }
 }
 
-void Cell::Cancel(CallNumber call, const JobId& id, CellTime time) {
-  JobEntry* entry = FindJob(id);
-  LogCancel(id, entry == nullptr ? "unknown" : JobStateName(entry->job.state()), time.now);
-  if (entry == nullptr) return Respond(call, {CallVerdict::kNotFound});
-  if (IsFinal(entry->stored_state)) {
-    return Respond(call, {CallVerdict::kCancelled, entry->stored_state});
-  }
-  entry->cancel_calls.push_back(call);
-  if (IsFinal(entry->job.state())) {
-    return;  // The caller gets the response when that state is stored.
-  }
-  entry->job.Cancel();
-  MarkDirty(entry);
-  StopJob(entry, time.now);
+/// The verdict on an id that the cell does not hold. A successor may have accepted the job if the
+/// membership may have ended.
+CallVerdict Cell::VerdictOnUnknown(Instant now) const {
+  return MembershipHolds(now) ? CallVerdict::kNotFound : CallVerdict::kNotOwner;
 }
 
-void Cell::LogCancel(const JobId& id, std::string_view state, Instant now) const {
-  LogDecision("cancel", {{"job", std::string(id.text())},
-                         {"cell", Concat(number_)},
-                         {"token", Concat(token_)},
-                         {"state", std::string(state)},
-                         {"renewed_ms", Concat(MillisSinceRenewal(now))}});
-}
-
-CallResponse Cell::Show(const JobId& id) const {
+CallResponse Cell::Show(const JobId& id, Instant now) const {
   const auto found = jobs_.find(id);
-  if (found == jobs_.end()) return {CallVerdict::kNotFound};
+  if (found == jobs_.end()) {
+    const CancelledIds::Entry* cancelled = cancelled_ids_.Find(id);
+    if (cancelled == nullptr) return {VerdictOnUnknown(now)};
+    if (!cancelled->stored) return {CallVerdict::kRefused, JobState::kQueued, 0, kStoreRetryAfter};
+    if (!cancelled->submission_stored) return {CallVerdict::kCancelledUnseen};
+    return {CallVerdict::kShown, JobState::kCancelled};
+  }
   const JobEntry& entry = *found->second;
   JobState state = entry.job.state();
   if (IsFinal(state) && !IsFinal(entry.stored_state)) {
@@ -260,8 +258,9 @@
     limits_.Put(handover_batch_, {});
     return;
   }
-  const auto id =
-      record.key.front() == kJobPrefix ? JobId::Parse(record.key.substr(1)) : std::nullopt;
+  const auto id = JobId::Parse(record.key.substr(1));
+  if (id && record.key.front() == kCancelledIdPrefix) return DropCancelledId(*id, "unstorable");
+  if (record.key.front() != kJobPrefix) return;
   const JobEntry* entry = id ? FindJob(*id) : nullptr;
   if (entry == nullptr || entry->accepted || !record.value) return;
   for (const CallNumber call : entry->accept_calls) Respond(call, {CallVerdict::kTooLarge});
@@ -280,6 +279,7 @@
     if (runner.registry_batch != 0 && runner.registry_batch <= batch) runner.registered = true;
   }
   if (handover_record_present_ && handover_batch_ <= batch) handover_record_present_ = false;
+  ConfirmCancelledIds(batch);
   limits_.Confirm(batch);
   UpdateLimitedRunners();
   RecordStoredResults(time);
@@ -355,9 +355,13 @@
   if (deposed_) return;
   AdvanceRunners(time);
   RemoveExpiredJobs(time);
+  RemoveExpiredCancelledIds(time.now);
   DropExpiredCapacityReservations(time.now);
   Schedule(time);
-  if (commits_.StallDuration(time.now) > options_.commit_stall_timeout) RefuseUnsentJobs();
+  if (commits_.StallDuration(time.now) > options_.commit_stall_timeout) {
+    RefuseUnsentJobs();
+    RefuseUnsentCancelledIds();
+  }
   Commit(time);
 }
 
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -15,12 +15,14 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 #include "absl/status/status.h"
 #include "absl/status/statusor.h"
+#include "cells/cancelled_ids.h"
 #include "cells/capacity_reservation.h"
 #include "cells/cell_options.h"
 #include "cells/cell_types.h"
@@ -94,11 +96,15 @@
   Instant NextWake(Instant now) const;
 
   void Submit(CallNumber call, const JobId& id, JobRecord record, CellTime time);
-  void Cancel(CallNumber call, const JobId& id, CellTime time);
-  CallResponse Show(const JobId& id) const;
+  /// Cancels a job. An id that the cell does not hold is remembered as cancelled if `queue` is set;
+  /// it is not set in a call to a cell that only holds earlier jobs of the queue.
+  void Cancel(CallNumber call, const JobId& id, const std::optional<QueueService>& queue,
+              CellTime time);
+  CallResponse Show(const JobId& id, Instant now) const;
   CallResponse CountPending(const std::string& queue) const;
-  bool Holds(const JobId& id) const { return jobs_.contains(id); }
-  /// Returns the queues of which the cell holds a job, whether stored yet or not.
+  /// Whether callers are shown a job with this id.
+  bool Holds(const JobId& id) const;
+  /// Returns the queues of which the cell holds a job or a cancelled id, whether stored yet or not.
   std::vector<QueueService> HeldQueues() const;
 
   /// Reports the load of each service of the cell, which decisions on machines are based on.
@@ -213,6 +219,10 @@
   bool HasAuthority(Instant now) const {
     return !deposed_ && !handover_record_present_ && now < authority_until_;
   }
+  /// Whether the store cannot have assigned the cell to another instance for want of a renewal.
+  bool MembershipHolds(Instant now) const {
+    return !deposed_ && now < authority_until_ - options_.authority + options_.min_membership;
+  }
   /// Time since the last confirmed renewal of this term was sent, for the log.
   std::int64_t MillisSinceRenewal(Instant now) const {
     return MillisOf(now - (authority_until_ - options_.authority));
@@ -241,6 +251,16 @@
   void FlushDirty();
   void Refuse(CallNumber call, const JobId& id, std::string_view reason);
   void LogCancel(const JobId& id, std::string_view state, Instant now) const;
+  void CancelUnknown(CallNumber call, const JobId& id, const std::optional<QueueService>& queue,
+                     CellTime time);
+  void SubmitCancelled(CallNumber call, const JobId& id, CancelledIds::Entry* entry, CellTime time);
+  BatchNumber StoreCancelledId(const JobId& id, const CancelledIds::Entry& entry);
+  void ConfirmCancelledIds(BatchNumber batch);
+  void RefuseUnsentCancelledIds();
+  void DropCancelledId(const JobId& id, std::string_view reason);
+  void RemoveExpiredCancelledIds(Instant now);
+  void RestoreCancelledId(const std::string& key, const std::string& value, CellTime time);
+  CallVerdict VerdictOnUnknown(Instant now) const;
   void RefuseUnsentJobs();
   void WithdrawJob(const JobId& id);
   void FinishBatch(CellTime time);
@@ -378,6 +398,8 @@
   std::unordered_set<JobId> unaccepted_;               ///< Open jobs that are not stored yet.
   std::deque<JobId>
       final_jobs_;  ///< Final jobs, kept for callers for a while, in the order in which they ended.
+  CancelledIds cancelled_ids_;
+  std::unordered_set<JobId> unstored_cancelled_ids_;  ///< With a record that is not stored yet.
   std::unordered_set<JobId> dirty_;  ///< Jobs whose progress is stored with the next batch.
   CommitQueue commits_;
   std::set<std::string> unstorable_keys_;  ///< Keys of records for which an error was logged.
--- a/cells/cell_dispatcher.h
+++ b/cells/cell_dispatcher.h
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <utility>
 
 #include "cells/cell_messages.h"
@@ -77,7 +78,9 @@
         if (!call.record) return respond({CallVerdict::kNotOwner});
         return host->Submit(call.job, *std::move(call.record), std::move(respond));
       case CellVerb::kCancel:
-        return host->Cancel(call.job, std::move(respond));
+        return host->Cancel(call.job,
+                            call.routing ? std::optional(call.routing->assignment) : std::nullopt,
+                            std::move(respond));
       case CellVerb::kShow:
         return respond(host->Show(call.job));
       case CellVerb::kCountPending:
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -98,14 +98,16 @@
     SchedulePump();
   }
 
-  void Cancel(const JobId& id, ResponseCallback on_response) {
+  /// `queue` is as in `Cell::Cancel`.
+  void Cancel(const JobId& id, const std::optional<QueueService>& queue,
+              ResponseCallback on_response) {
     if (!active()) return on_response({CallVerdict::kNotOwner});
-    cell_->Cancel(NewCall(std::move(on_response)), id, Time());
+    cell_->Cancel(NewCall(std::move(on_response)), id, queue, Time());
     SchedulePump();
   }
 
   CallResponse Show(const JobId& id) const {
-    return active() ? cell_->Show(id) : CallResponse{CallVerdict::kNotOwner};
+    return active() ? cell_->Show(id, clock_->Now()) : CallResponse{CallVerdict::kNotOwner};
   }
 
   CallResponse CountPending(const std::string& queue) const {
--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -3,6 +3,7 @@
 #define WIGEONLANE_CELLS_CELL_OPTIONS_H_
 
 #include <chrono>
+#include <cstddef>
 
 #include "cells/store_limits.h"
 
@@ -65,6 +66,11 @@
   std::chrono::milliseconds schedule_retry_interval{200};
   /// How long callers can request the state of a finished job (platform: status_s).
   std::chrono::milliseconds finished_job_retention{130'000};
+  /// Ids of a cell that are remembered as cancelled although no submission of them has arrived.
+  std::size_t max_cancelled_ids = 10'000;
+  /// Shortest time from a membership's last renewal until it ends and the cell is assigned to a
+  /// successor (the platform's shortest time to live of a member).
+  std::chrono::milliseconds min_membership{1'000};
   /// A runner that has not responded for this long after a takeover is recorded for the successor.
   /// Healthy runners respond within milliseconds; recording them would delay their leases until the
   /// record is replaced.
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -13,9 +13,6 @@
 /// Longest time from a release until the machine goes down: 0.4 s for the response to the
 /// coordinator, 0.3 s in the queue (OrderWindow) and 1.5 s until a command is abandoned.
 constexpr std::chrono::milliseconds kMaxDownDelay{2'200};
-/// Shortest time from a membership's last renewal until it ends (OwnershipOptions) and the cell is
-/// assigned to a successor.
-constexpr std::chrono::milliseconds kMinMembership{1'000};
 /// A reserved runner waits this long for long-running tasks elsewhere to be running, or for
 /// capacity. Covers two machines of the step in turn, each down for 2 s (platform: MaintenanceS),
 /// and the starts of their tasks.
@@ -149,7 +146,7 @@
   const StepSpec& spec = entry->job.spec().steps[id.step];
   if (!spec.long_running) return false;
   // A successor accounts for releases only if they came before the cell was assigned to it.
-  if (!HasAuthority(now + options_.authority - kMinMembership)) return false;
+  if (!HasAuthority(now) || !MembershipHolds(now)) return false;
   // Runners that a predecessor released may go down at any time, and its stops may still take
   // effect; neither is known here.
   if (entry->inherited && now < ReleaseResolvedAt(restored_at_)) return false;
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -65,6 +65,7 @@
     if (prefix == kRunnerPrefix || record.key == kRunnerRegistryKey) {
       RestoreRunnerRecord(record.key, *record.value, time);
     }
+    if (prefix == kCancelledIdPrefix) RestoreCancelledId(record.key, *record.value, time);
   }
   for (const StoreRecord& record : records) {
     const bool is_slice =
@@ -116,6 +117,19 @@
   if (!status.ok()) LogUnreadable(number_, key, MessageOf(status));
 }
 
+void Cell::RestoreCancelledId(const std::string& key, const std::string& value, CellTime time) {
+  const auto id = JobId::Parse(key.substr(1));
+  const auto cancelled = Decode<CancelledId>(value);
+  if (!id || !cancelled.ok()) {
+    return LogUnreadable(number_, key,
+                         id ? MessageOf(cancelled.status()) : "invalid job id in the key");
+  }
+  CancelledIds::Entry* entry =
+      cancelled_ids_.Add(*id, *cancelled, time.now + options_.finished_job_retention);
+  entry->stored = true;
+  entry->submission_stored = cancelled->submitted;
+}
+
 void Cell::RestoreFinalJobs(CellTime time) {
   for (auto& [id, entry] : jobs_) {
     if (!IsFinal(entry->job.state())) continue;
--- a/cells/record_keys.h
+++ b/cells/record_keys.h
@@ -23,6 +23,9 @@
 /// writes it for all runners; any other owner writes it for the runners that are unresponsive.
 inline constexpr std::string_view kHandoverKey = "handover";
 
+/// An id that was cancelled before a submission of it arrived; see `CancelledIds`.
+inline constexpr char kCancelledIdPrefix = 'x';
+
 /// The key of an accepted job, which is written once.
 inline std::string JobKey(const JobId& id) { return Concat("j", id.text()); }
 /// The key of a record of a job's progress, which is rewritten after each run result that changes
@@ -30,6 +33,7 @@
 inline std::string ProgressKey(const JobId& id, std::string_view suffix = "") {
   return Concat("s", id.text(), suffix);
 }
+inline std::string CancelledIdKey(const JobId& id) { return Concat("x", id.text()); }
 inline std::string UnslicedProgressKey(const JobId& id) { return Concat("p", id.text()); }
 inline std::string RunnerRecordKey(const std::string& runner_id) { return Concat("R", runner_id); }
 
--- /dev/null
+++ b/tests/cells/cell_former_owner_test.cc
@@ -0,0 +1,51 @@
+/// Responses of an owner whose membership may have ended without its knowledge, because it cannot
+/// reach the store. Guards against LOST, MIXED and UNASKED (issue 37): it decides by its memory
+/// about jobs that its successor has accepted.
+#include <catch2/catch.hpp>
+
+#include "tests/cells/scripted_cell.h"
+
+namespace wigeonlane {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr CallNumber kCancel = 7;
+const Resources kCapacity{8'000, 16'000, 0};
+
+class CellFormerOwnerTest : protected ScriptedCell {
+ protected:
+  CellFormerOwnerTest() {
+    Begin(2, kCapacity);
+    AdvanceTime(milliseconds(400));
+  }
+
+  /// No renewal that was sent later than `duration` ago is confirmed.
+  void LoseStoreFor(milliseconds duration) {
+    renewals_confirmed_ = false;
+    AdvanceTime(duration);
+  }
+
+  CallVerdict CancelInFormerService() {
+    cell_->Cancel(kCancel, id_, {}, Time());
+    AdvanceTime(milliseconds(5));
+    return responses_.at(kCancel).verdict;
+  }
+
+  const JobId id_ = *JobId::Parse("00000000000000a1");
+};
+
+TEST_CASE_METHOD(CellFormerOwnerTest, "Show_OfAnUnknownId_IsDecidedOnlyWithAMembership") {
+  CHECK(cell_->Show(id_, now_).verdict == CallVerdict::kNotFound);
+  LoseStoreFor(CellOptions().min_membership);
+  CHECK(cell_->Show(id_, now_).verdict == CallVerdict::kNotOwner);
+}
+
+TEST_CASE_METHOD(CellFormerOwnerTest, "Cancel_OfAnUnknownId_IsDecidedOnlyWithAMembership") {
+  CHECK(CancelInFormerService() == CallVerdict::kNotFound);
+  LoseStoreFor(CellOptions().min_membership);
+  CHECK(CancelInFormerService() == CallVerdict::kNotOwner);
+}
+
+}  // namespace
+}  // namespace wigeonlane
--- a/tests/platform/caller_api_test.cc
+++ b/tests/platform/caller_api_test.cc
@@ -172,6 +172,19 @@
   CHECK(StoredJobs() == 1);
 }
 
+// Guards against UNASKED (issue 37): a submission that arrives after its cancellation was
+// acknowledged makes a job, because the queue has moved and the new cell does not know the id.
+TEST_CASE_METHOD(MovedQueueTest, "Post_CancelledBeforeTheQueueMovedAgain_MakesNoJob") {
+  const std::string late = "00000000000000a7";
+  REQUIRE(Ask("DELETE", late) == http_status::kGone);
+  owner_ = Start();
+  owner_->Read(5, "s2");
+  TakeOver();
+  CHECK(Ask("POST", late) == http_status::kOk);
+  CHECK(StoredJobs() == 1);
+  CHECK(Ask("GET", late) == http_status::kGone);
+}
+
 TEST_CASE_METHOD(MovedQueueTest, "Get_UnknownJobOfMovedQueue_IsGone") {
   CHECK(Ask("GET", "00000000000000ff") == http_status::kGone);
 }
