--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -133,6 +133,7 @@
   kOutdated,      ///< Nothing was decided: the owner's or the sender's configuration is outdated.
   kQueues,        ///< `queues` is set.
   kTooLarge,      ///< The store cannot hold the job, so it is not accepted and never will be.
+  kCancelledUnseen,  ///< Cancelled before a submission of the id arrived, so it never runs.
 };
 
 /// A runner whose machine may be moved, because no long-running task runs there.
@@ -193,6 +194,8 @@
   /// With kOutdated: the oldest survey that would have sufficed; 0 if a survey would not help.
   std::uint64_t required_survey = 0;
   bool stored = true;  ///< With `state`: the job is stored, so it cannot be refused any more.
+  /// The instance that made the response. Set by the `CallRouter` that received it; not sent.
+  Endpoint decided_by = {};
 
   template <class Archive>
   void serialize(Archive& archive) {
