cells: an owner whose authority has ended counts no pending jobs

A count may be 2 s old; the authority ends 2 s after the earliest time at which the cell can have another owner. After that the verdict is "not the owner": the router looks for the present one, and the caller gets 503 after 1 s if there is none.

Test: cell_former_owner_test, CountPending_AuthorityHasEnded_IsNotAnswered; failed with the check left out.

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -190,7 +190,9 @@
   return response;
 }
 
-CallResponse Cell::CountPending(const std::string& queue) const {
+CallResponse Cell::CountPending(const std::string& queue, Instant now) const {
+  // A successor may have accepted jobs for longer than a count may be out of date.
+  if (deposed_ || now >= authority_until_) return {CallVerdict::kNotOwner};
   CallResponse response{CallVerdict::kCounted};
   for (const JobId& id : open_jobs_) {
     const JobEntry& entry = *jobs_.at(id);
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -101,7 +101,7 @@
   void Cancel(CallNumber call, const JobId& id, const std::optional<QueueService>& queue,
               CellTime time);
   CallResponse Show(const JobId& id, Instant now) const;
-  CallResponse CountPending(const std::string& queue) const;
+  CallResponse CountPending(const std::string& queue, Instant now) const;
   /// Whether callers are shown a job with this id.
   bool Holds(const JobId& id) const;
   /// Returns the queues of which the cell holds a job or a cancelled id, whether stored yet or not.
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -111,7 +111,8 @@
   }
 
   CallResponse CountPending(const std::string& queue) const {
-    return active() ? cell_->CountPending(queue) : CallResponse{CallVerdict::kNotOwner};
+    return active() ? cell_->CountPending(queue, clock_->Now())
+                    : CallResponse{CallVerdict::kNotOwner};
   }
 
   CallResponse ReportLoads() const {
--- a/tests/cells/cell_former_owner_test.cc
+++ b/tests/cells/cell_former_owner_test.cc
@@ -47,5 +47,11 @@
   CHECK(CancelInFormerService() == CallVerdict::kNotOwner);
 }
 
+TEST_CASE_METHOD(CellFormerOwnerTest, "CountPending_AuthorityHasEnded_IsNotAnswered") {
+  CHECK(cell_->CountPending("queue", now_).verdict == CallVerdict::kCounted);
+  LoseStoreFor(CellOptions().authority);
+  CHECK(cell_->CountPending("queue", now_).verdict == CallVerdict::kNotOwner);
+}
+
 }  // namespace
 }  // namespace wigeonlane
