cells: an owner whose membership may have ended releases no runner for maintenance

A former owner that has not noticed the loss of its cell answered "ready" for a runner on which its successor had started tasks, and the machine went down under them (AVAIL, thrown-away work). For runners with long-running tasks the age of the membership was asked before (MayStop), for idle ones it was not. A reservation is refused for now, and the coordinator asks again.

--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -27,6 +27,8 @@
 }  // namespace
 
 CallResponse Cell::ReserveRunner(const std::string& runner_id, CellTime time) {
+  // A successor may have started tasks on the runner.
+  if (!MembershipHolds(time.now)) return {CallVerdict::kNotReady};
   const auto key = key_by_id_.find(runner_id);
   Runner* runner = key == key_by_id_.end() ? nullptr : FindRunner(key->second);
   if (runner == nullptr || !runner->claimed) return {CallVerdict::kNotReady};
--- a/tests/cells/cell_former_owner_test.cc
+++ b/tests/cells/cell_former_owner_test.cc
@@ -53,5 +53,13 @@
   CHECK(cell_->CountPending("queue", now_).verdict == CallVerdict::kNotOwner);
 }
 
+// Guards against AVAIL: a machine goes down under a long-running task that the successor started.
+TEST_CASE_METHOD(CellFormerOwnerTest,
+                 "ReserveRunner_OfAnIdleRunner_IsReleasedOnlyWithAMembership") {
+  CHECK(cell_->ReserveRunner(RunnerName(0), Time()).verdict == CallVerdict::kReady);
+  LoseStoreFor(CellOptions().min_membership);
+  CHECK(cell_->ReserveRunner(RunnerName(1), Time()).verdict == CallVerdict::kNotReady);
+}
+
 }  // namespace
 }  // namespace wigeonlane
