--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -177,7 +177,7 @@
     const CancelledIds::Entry* cancelled = cancelled_ids_.Find(id);
     if (cancelled == nullptr) return {VerdictOnUnknown(now)};
     if (!cancelled->stored) return {CallVerdict::kRefused, JobState::kQueued, 0, kStoreRetryAfter};
-    if (!cancelled->submission_stored) return {CallVerdict::kCancelledUnseen};
+    if (!cancelled->submission_stored) return {CallVerdict::kCancelledBeforeSubmit};
     return {CallVerdict::kShown, JobState::kCancelled};
   }
   const JobEntry& entry = *found->second;
@@ -192,7 +192,9 @@
 
 CallResponse Cell::CountPending(const std::string& queue, Instant now) const {
   // A successor may have accepted jobs for longer than a count may be out of date.
-  if (deposed_ || now >= authority_until_) return {CallVerdict::kNotOwner};
+  if (deposed_ || now >= authority_until_) {
+    return {CallVerdict::kRefused, JobState::kQueued, 0, kStoreRetryAfter};
+  }
   CallResponse response{CallVerdict::kCounted};
   for (const JobId& id : open_jobs_) {
     const JobEntry& entry = *jobs_.at(id);
@@ -309,7 +311,7 @@
                            {"cell", Concat(number_)},
                            {"token", Concat(token_)},
                            {"queue", entry->job.policy().name},
-                           {"renewed_ms", Concat(MillisSinceRenewal(time.now))},
+                           {"renewed_ms", MillisSinceRenewal(time.now)},
                            {"commit_ms", Concat(MillisOf(time.now - entry->accepted_at))}});
   }
   for (const CallNumber call : std::exchange(entry->accept_calls, {})) {
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -96,8 +96,8 @@
   Instant NextWake(Instant now) const;
 
   void Submit(CallNumber call, const JobId& id, JobRecord record, CellTime time);
-  /// Cancels a job. An id that the cell does not hold is remembered as cancelled if `queue` is set;
-  /// it is not set in a call to a cell that only holds earlier jobs of the queue.
+  /// Cancels a job. An id that the cell does not hold is remembered as cancelled if `queue` is set,
+  /// which it is only in a call to a cell of the queue's present service.
   void Cancel(CallNumber call, const JobId& id, const std::optional<QueueService>& queue,
               CellTime time);
   CallResponse Show(const JobId& id, Instant now) const;
@@ -219,14 +219,13 @@
   bool HasAuthority(Instant now) const {
     return !deposed_ && !handover_record_present_ && now < authority_until_;
   }
-  /// Whether the store cannot have assigned the cell to another instance for want of a renewal.
+  /// Whether the membership cannot have expired yet. An eviction may end it earlier.
   bool MembershipHolds(Instant now) const {
     return !deposed_ && now < authority_until_ - options_.authority + options_.min_membership;
   }
-  /// Time since the last confirmed renewal of this term was sent, for the log.
-  std::int64_t MillisSinceRenewal(Instant now) const {
-    return MillisOf(now - (authority_until_ - options_.authority));
-  }
+  /// Milliseconds since the last confirmed renewal was sent, for the log; "none" without authority
+  /// by a renewal, as during a handover.
+  std::string MillisSinceRenewal(Instant now) const;
   /// The latest time at which a lease may end. A successor waits only until then.
   Instant LeaseLimit() const {
     return authority_until_ + (options_.max_lease_after_renewal - options_.authority);
--- a/cells/cell_cancel.cc
+++ b/cells/cell_cancel.cc
@@ -26,12 +26,17 @@
   StopJob(entry, time.now);
 }
 
+std::string Cell::MillisSinceRenewal(Instant now) const {
+  if (authority_until_ == Instant{}) return "none";
+  return Concat(MillisOf(now - (authority_until_ - options_.authority)));
+}
+
 void Cell::LogCancel(const JobId& id, std::string_view state, Instant now) const {
   LogDecision("cancel", {{"job", std::string(id.text())},
                          {"cell", Concat(number_)},
                          {"token", Concat(token_)},
                          {"state", std::string(state)},
-                         {"renewed_ms", Concat(MillisSinceRenewal(now))}});
+                         {"renewed_ms", MillisSinceRenewal(now)}});
 }
 
 /// Responds that the id is unknown once that is stored. The record is also the proof that this
@@ -88,7 +93,7 @@
     if (!entry->stored && entry->cancel_batch <= batch) {
       entry->stored = true;
       LogDecision(
-          "cancelled_unseen",
+          "cancelled_before_submit",
           {{"job", std::string(id.text())}, {"cell", Concat(number_)}, {"token", Concat(token_)}});
       for (const CallNumber call : std::exchange(entry->cancel_calls, {})) {
         Respond(call, {CallVerdict::kNotFound});
--- a/cells/cell_dispatcher.h
+++ b/cells/cell_dispatcher.h
@@ -11,8 +11,6 @@
 #include "cells/cell_messages.h"
 #include "cells/cell_table.h"
 #include "cells/queue_survey.h"
-#include "core/logging.h"
-#include "core/text.h"
 #include "jobs/route_table.h"
 
 namespace wigeonlane {
@@ -38,12 +36,6 @@
     if (call.routing && !host->cell()->Holds(call.job)) {
       const auto required = RequiredSurvey(*call.routing, *routes_, RoutesOf(*host));
       if (!required || call.routing->survey_version < *required) {
-        LogDecision("outdated", {{"job", std::string(call.job.text())},
-                                 {"cell", Concat(call.cell)},
-                                 {"config", Concat(routes_->version())},
-                                 {"sender_config", Concat(call.routing->config_version)},
-                                 {"sender_survey", Concat(call.routing->survey_version)},
-                                 {"required_survey", required ? Concat(*required) : "none"}});
         CallResponse response{CallVerdict::kOutdated};
         response.required_survey = required.value_or(0);
         return respond(std::move(response));
--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -69,7 +69,7 @@
   /// Ids of a cell that are remembered as cancelled although no submission of them has arrived.
   std::size_t max_cancelled_ids = 10'000;
   /// Shortest time from a membership's last renewal until it ends and the cell is assigned to a
-  /// successor (the platform's shortest time to live of a member).
+  /// successor: the time to live of a member.
   std::chrono::milliseconds min_membership{1'000};
   /// A runner that has not responded for this long after a takeover is recorded for the successor.
   /// Healthy runners respond within milliseconds; recording them would delay their leases until the
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -133,7 +133,7 @@
   kOutdated,      ///< Nothing was decided: the owner's or the sender's configuration is outdated.
   kQueues,        ///< `queues` is set.
   kTooLarge,      ///< The store cannot hold the job, so it is not accepted and never will be.
-  kCancelledUnseen,  ///< Cancelled before a submission of the id arrived, so it never runs.
+  kCancelledBeforeSubmit,  ///< Cancelled before a submission of the id arrived, so it never runs.
 };
 
 /// A runner whose machine may be moved, because no long-running task runs there.
