explain: who decided a cancel, an accept or a start, and what the logs lack

Cause: the timeline of a job did not show the owner, cell, term and survey of a decision, which the new fields of `call`, `cancel`, `accept`, `start` and `job_final` name, nor that an instance involved was paused or dropped lines.

Change: the fields are shown where they are present; an owner's address is replaced by the name of the instance. `process_paused` and `log_lines_dropped` of the instances that mention the job, or are named as its owner, are events, and dropped lines are added to the outcome. A submission after the cancel (`accept_cancelled`) has the outcome "cancelled before it was submitted".

Not tried on a log with the new fields outside the tests.

--- a/logs/job_timeline.cc
+++ b/logs/job_timeline.cc
@@ -3,6 +3,8 @@
 #include <absl/strings/str_format.h>
 
 #include <algorithm>
+#include <map>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -16,6 +18,8 @@
 constexpr std::chrono::milliseconds kMinReportedWait{200};
 /// Events of the cell are included from this long before the first line of the job.
 constexpr std::chrono::milliseconds kMarginBeforeJob{3'000};
+/// Lines that an instance dropped up to this long after the last line of the job may be on the job.
+constexpr std::chrono::milliseconds kMarginAfterJob{3'000};
 
 constexpr std::string_view kCellEvents[] = {"cell_gained", "cell_restored", "cell_deposed",
                                             "cell_lost"};
@@ -26,20 +30,61 @@
   return std::find(std::begin(names), std::end(names), event) != std::end(names);
 }
 
-std::string DescribeEvent(const LogLine& line) {
+/// Names of instances by the address at which their peers reach them.
+using InstanceNames = std::map<std::string, std::string, std::less<>>;
+
+InstanceNames FindInstanceNames(const std::vector<InstanceLog>& logs) {
+  InstanceNames names;
+  for (const InstanceLog& log : logs) {
+    for (const LogLine& line : log.lines) {
+      if (line.event != "started" || line.Field("peers").empty()) continue;
+      names[std::string(line.Field("peers"))] = log.instance;
+    }
+  }
+  return names;
+}
+
+/// Returns the name of the instance that decided a `call`, or its address when no log names it.
+std::string_view OwnerOf(const LogLine& line, const InstanceNames& names) {
+  const auto found = names.find(line.Field("owner"));
+  if (found == names.end()) return line.Field("owner");
+  return found->second;
+}
+
+std::string DescribeEvent(const LogLine& line, const InstanceNames& names) {
   const auto field = [&](std::string_view name) { return line.Field(name); };
+  // Logs of earlier versions lack some fields.
+  const auto optional = [&](std::string_view before, std::string_view name,
+                            std::string_view after = "") {
+    return field(name).empty() ? "" : Concat(before, field(name), after);
+  };
+  const std::string term =
+      Concat(optional(", token ", "token"), optional(", renewed ", "renewed_ms", " ms before"));
   if (line.event == "call") {
+    const std::string owner =
+        field("owner").empty() || field("owner") == "none"
+            ? ""
+            : Concat(", decided by ", OwnerOf(line, names), optional(" for cell ", "cell"));
     return Concat(field("method"), ": response ", field("code"), " (", field("verdict"), ") after ",
-                  field("took_ms"), " ms, configuration ", field("config"));
+                  field("took_ms"), " ms", owner, ", configuration ", field("config"),
+                  optional(", survey ", "survey"));
+  }
+  if (line.event == "cancel") {
+    return Concat("cancel reached its owner", optional(", job was ", "state"), ", cell ",
+                  field("cell"), term);
   }
   if (line.event == "accept") {
     return Concat("accepted into cell ", field("cell"), ", queue ", field("queue"),
-                  "; stored after ", field("commit_ms"), " ms");
+                  "; stored after ", field("commit_ms"), " ms", term);
+  }
+  if (line.event == "accept_cancelled") {
+    return Concat("submitted after its cancel: stored as cancelled, cell ", field("cell"), term);
   }
   if (line.event == "refuse") return Concat("refused by its owner: ", field("why"));
   if (line.event == "start") {
     return Concat("start of ", field("task"), " run ", field("run"), " on ", field("runner"),
-                  ", free cpu ", field("free_cpu"), ", list ", field("report_age_ms"), " ms old");
+                  ", free cpu ", field("free_cpu"), ", list ", field("report_age_ms"), " ms old",
+                  optional(", cell ", "cell"), term);
   }
   if (line.event == "run_end") {
     return Concat(field("task"), " run ", field("run"), " on ", field("runner"), ": ",
@@ -53,7 +98,7 @@
                   ": response ", field("answer"));
   }
   if (line.event == "job_final") {
-    return Concat(field("state"), " after ", field("age_ms"), " ms");
+    return Concat(field("state"), " after ", field("age_ms"), " ms", term);
   }
   std::string text = line.event;
   for (const auto& [name, value] : line.fields) {
@@ -137,6 +182,7 @@
       outcome = Concat("refused: ", line->Field("why"));
     }
     if (line->event == "accept") outcome = "accepted, not final in these logs";
+    if (line->event == "accept_cancelled") outcome = "cancelled before it was submitted";
     if (line->event == "job_final") {
       outcome =
           Concat(line->Field("state"), " ", line->Field("age_ms"), " ms after it was accepted");
@@ -146,6 +192,14 @@
   return failed_runs == 0 ? outcome : Concat(outcome, "; ", failed_runs, " runs failed");
 }
 
+/// Whether an instance paused or dropped lines in the period of the job.
+bool IsGapOf(const LogLine& line, LogTime first, LogTime last) {
+  if (line.event == "process_paused") return line.time >= first && line.time <= last;
+  if (line.event != "log_lines_dropped" || line.time < first) return false;
+  return line.time - std::chrono::milliseconds(line.Number("period_ms").value_or(0)) <=
+         last + kMarginAfterJob;
+}
+
 }  // namespace
 
 JobTimeline BuildJobTimeline(const std::vector<InstanceLog>& logs, std::string_view job) {
@@ -153,15 +207,20 @@
   const std::vector<LogLine> lines = MergeByTime(logs);
   std::vector<const LogLine*> job_lines;
   CellOwners owners;
+  const InstanceNames names = FindInstanceNames(logs);
+  std::set<std::string, std::less<>> involved;
   for (const LogLine& line : lines) {
     if (line.Field("job") != job) continue;
     job_lines.push_back(&line);
+    involved.insert(line.instance);
+    involved.emplace(OwnerOf(line, names));
     if (!line.Field("cell").empty()) owners.cell = line.Field("cell");
     if (line.event != "call") owners.instances.insert(line.instance);
   }
   if (job_lines.empty()) return timeline;
   const LogTime first = job_lines.front()->time - kMarginBeforeJob;
   const LogTime last = job_lines.back()->time;
+  std::int64_t dropped_lines = 0;
   for (const LogLine& line : lines) {
     const bool is_of_job = line.Field("job") == job;
     const bool is_in_period = line.time >= first && line.time <= last;
@@ -169,13 +228,19 @@
         IsOneOf(line.event, kCellEvents) && line.Field("cell") == owners.cell;
     const bool is_store_event =
         owners.instances.contains(line.instance) && IsOneOf(line.event, kStoreEvents);
+    const bool is_gap = involved.contains(line.instance) && IsGapOf(line, first, last);
+    if (is_gap) dropped_lines += line.Number("count").value_or(0);
     // The `run_end` line of a finished run has the same information.
     if (is_of_job && line.event == "free" && line.Field("why") == "done") continue;
-    if (!is_of_job && !(is_in_period && (is_cell_event || is_store_event))) continue;
-    timeline.events.push_back({line.time, line.instance, DescribeEvent(line)});
+    if (!is_of_job && !is_gap && !(is_in_period && (is_cell_event || is_store_event))) continue;
+    timeline.events.push_back({line.time, line.instance, DescribeEvent(line, names)});
   }
   FindWaits(lines, job_lines, owners, &timeline);
   timeline.outcome = OutcomeOf(job_lines);
+  if (dropped_lines > 0) {
+    AppendTo(&timeline.outcome, "; ", dropped_lines,
+             " lines of these instances were dropped and may be on this job");
+  }
   return timeline;
 }
 
--- a/logs/job_timeline.h
+++ b/logs/job_timeline.h
@@ -32,8 +32,9 @@
   std::string outcome;
 };
 
-/// Collects the log lines of `job` and the changes of ownership of its cell in the same period. The
-/// timeline has no events when no log mentions the job.
+/// Collects the log lines of `job`, and from the same period the changes of ownership of its cell
+/// and the pauses and dropped lines of the instances involved. The timeline has no events when no
+/// log mentions the job.
 JobTimeline BuildJobTimeline(const std::vector<InstanceLog>& logs, std::string_view job);
 
 /// Formats the timeline for a terminal, with times relative to the first event.
