explain: find a job by the name of a request on it

Cause: callers name each try of a request in the header Request-Id, and the users' records of incidents use that name. `explain` only took the id of the job.

Change: where a `call` line has the field `request`, its value stands for the job. The description of the call shows it.

The new test failed with the look-up disabled (2 of 42 assertions of logs_test) and passes with it.

--- a/cli/commands.cc
+++ b/cli/commands.cc
@@ -337,7 +337,8 @@
   job submit PATH ID FILE                        hand a job in (JSON); PATH is the queue's, /NAME/
   job show|cancel PATH ID
   job pending PATH                               accepted jobs of which no task has begun
-  explain ID LOG...                              a job's story from the logs of all instances
+  explain ID LOG...                              a job's story from the logs of all instances;
+                                                 ID is the job's or that of a request on it
   load run FILE                                  make load and report; see docs/LOAD.md
 
 Exit codes: 0 accepted or done, 1 rejected or not run, 2 usage, 3 unknown: ask again with the id.
--- a/cli/explain_command.h
+++ b/cli/explain_command.h
@@ -7,8 +7,8 @@
 
 namespace wigeonlane {
 
-/// Runs the command; `words` are "explain", the job's id and the log files. Returns kExitRejected
-/// when a file cannot be read or no log has an event of the job.
+/// Runs the command; `words` are "explain", the id of the job or of a request on it, and the log
+/// files. Returns kExitRejected when a file cannot be read or no log has an event of the job.
 int RunExplainCommand(const std::vector<std::string>& words);
 
 }  // namespace wigeonlane
--- a/logs/job_timeline.cc
+++ b/logs/job_timeline.cc
@@ -67,7 +67,7 @@
             : Concat(", decided by ", OwnerOf(line, names), optional(" for cell ", "cell"));
     return Concat(field("method"), ": response ", field("code"), " (", field("verdict"), ") after ",
                   field("took_ms"), " ms", owner, ", configuration ", field("config"),
-                  optional(", survey ", "survey"));
+                  optional(", survey ", "survey"), optional(", request ", "request"));
   }
   if (line.event == "cancel") {
     return Concat("cancel reached its owner", optional(", job was ", "state"), ", cell ",
@@ -192,6 +192,14 @@
   return failed_runs == 0 ? outcome : Concat(outcome, "; ", failed_runs, " runs failed");
 }
 
+/// Returns the job of a request with that name, or `id` itself when no log mentions such a request.
+std::string JobOf(const std::vector<LogLine>& lines, std::string_view id) {
+  for (const LogLine& line : lines) {
+    if (line.event == "call" && line.Field("request") == id) return std::string(line.Field("job"));
+  }
+  return std::string(id);
+}
+
 /// Whether an instance paused or dropped lines in the period of the job.
 bool IsGapOf(const LogLine& line, LogTime first, LogTime last) {
   if (line.event == "process_paused") return line.time >= first && line.time <= last;
@@ -202,9 +210,10 @@
 
 }  // namespace
 
-JobTimeline BuildJobTimeline(const std::vector<InstanceLog>& logs, std::string_view job) {
+JobTimeline BuildJobTimeline(const std::vector<InstanceLog>& logs, std::string_view id) {
   JobTimeline timeline;
   const std::vector<LogLine> lines = MergeByTime(logs);
+  const std::string job = JobOf(lines, id);
   std::vector<const LogLine*> job_lines;
   CellOwners owners;
   const InstanceNames names = FindInstanceNames(logs);
--- a/logs/job_timeline.h
+++ b/logs/job_timeline.h
@@ -32,10 +32,11 @@
   std::string outcome;
 };
 
-/// Collects the log lines of `job`, and from the same period the changes of ownership of its cell
-/// and the pauses and dropped lines of the instances involved. The timeline has no events when no
-/// log mentions the job.
-JobTimeline BuildJobTimeline(const std::vector<InstanceLog>& logs, std::string_view job);
+/// Collects the log lines of a job, named by its id or by the name that a caller gave to one of its
+/// requests (field `request` of `call`), and from the same period the changes of ownership of its
+/// cell and the pauses and dropped lines of the instances involved. The timeline has no events when
+/// no log mentions the job.
+JobTimeline BuildJobTimeline(const std::vector<InstanceLog>& logs, std::string_view id);
 
 /// Formats the timeline for a terminal, with times relative to the first event.
 std::string FormatTimeline(const JobTimeline& timeline);
--- a/tests/logs/job_timeline_test.cc
+++ b/tests/logs/job_timeline_test.cc
@@ -115,6 +115,19 @@
   CHECK(timeline.outcome == "cancelled before it was submitted");
 }
 
+TEST_CASE_METHOD(CancelledJobTimelineTest, "JobTimeline_NameOfRequest_FindsItsJob") {
+  const std::string entry_log = Concat(
+      kEntryLog,
+      "time=2026-03-16T10:03:16.000 level=info event=call job=a1 request=f0 method=DELETE queue=q "
+      "code=200 verdict=cancelled config=3 took_ms=2\n");
+  const JobTimeline timeline =
+      BuildJobTimeline({Read(entry_log), Read(std::string(kOwnerLog))}, "f0");
+  CHECK(HasEvent(timeline, "norte-1",
+                 "DELETE: response 200 (cancelled) after 2 ms, configuration 3, request f0"));
+  CHECK(timeline.outcome == "cancelled before it was submitted");
+  CHECK(BuildJobTimeline({Read(entry_log)}, "f1").events.empty());
+}
+
 TEST_CASE_METHOD(CancelledJobTimelineTest, "JobTimeline_StartAfterTheCancel_NamesItsTerm") {
   const std::string owner_log = Concat(
       kOwnerLog,
