--- a/logs/job_timeline.cc
+++ b/logs/job_timeline.cc
@@ -47,7 +47,8 @@
 /// Returns the name of the instance that decided a `call`, or its address when no log names it.
 std::string_view OwnerOf(const LogLine& line, const InstanceNames& names) {
   const auto found = names.find(line.Field("owner"));
-  return found == names.end() ? line.Field("owner") : std::string_view(found->second);
+  if (found == names.end()) return line.Field("owner");
+  return found->second;
 }
 
 std::string DescribeEvent(const LogLine& line, const InstanceNames& names) {
@@ -66,7 +67,7 @@
             : Concat(", decided by ", OwnerOf(line, names), optional(" for cell ", "cell"));
     return Concat(field("method"), ": response ", field("code"), " (", field("verdict"), ") after ",
                   field("took_ms"), " ms", owner, ", configuration ", field("config"),
-                  optional(", survey ", "survey"));
+                  optional(", survey ", "survey"), optional(", request ", "request"));
   }
   if (line.event == "cancel") {
     return Concat("cancel reached its owner", optional(", job was ", "state"), ", cell ",
@@ -191,6 +192,14 @@
   return failed_runs == 0 ? outcome : Concat(outcome, "; ", failed_runs, " runs failed");
 }
 
+/// Returns the job of a request with that name, or `id` itself when no log mentions such a request.
+std::string JobOf(const std::vector<LogLine>& lines, std::string_view id) {
+  for (const LogLine& line : lines) {
+    if (line.event == "call" && line.Field("request") == id) return std::string(line.Field("job"));
+  }
+  return std::string(id);
+}
+
 /// Whether an instance paused or dropped lines in the period of the job.
 bool IsGapOf(const LogLine& line, LogTime first, LogTime last) {
   if (line.event == "process_paused") return line.time >= first && line.time <= last;
@@ -201,9 +210,10 @@
 
 }  // namespace
 
-JobTimeline BuildJobTimeline(const std::vector<InstanceLog>& logs, std::string_view job) {
+JobTimeline BuildJobTimeline(const std::vector<InstanceLog>& logs, std::string_view id) {
   JobTimeline timeline;
   const std::vector<LogLine> lines = MergeByTime(logs);
+  const std::string job = JobOf(lines, id);
   std::vector<const LogLine*> job_lines;
   CellOwners owners;
   const InstanceNames names = FindInstanceNames(logs);
