--- a/tests/process/cancels_test.py
+++ b/tests/process/cancels_test.py
@@ -127,14 +127,23 @@
     return [entry for entry in fleet.entries.values() if entry is not excluded]
 
 
+def wait_reassigned(fleet, cell, former):
+    """Waits until the store has assigned the cell to another instance, and the others know it. A
+    submission that they forward to the former owner would make the job known there."""
+    def reassigned(entry):
+        owners = [line for line in entry.log().splitlines() if "event=owners " in line]
+        return f" {cell}:" in owners[-1] and f" {cell}:{former.name}|" not in owners[-1]
+    wait_until(lambda: all(map(reassigned, others_than(fleet, former))), WAIT_SECONDS,
+               f"cell {cell} assigned to another instance than {former.name}")
+
+
 def cut_off_owner(fleet):
-    """Cuts the owner of QUEUE's cell off from the store and waits until the store has assigned the
-    cell to another instance. Returns the former owner and the time of the cut."""
+    """Cuts the owner of QUEUE's cell off from the store and waits until another instance owns the
+    cell. Returns the former owner and the time of the cut."""
     cell, former = find_cell(fleet, 2)
     fleet.gates[former.name].close()
     cut_at = time.monotonic()
-    wait_until(lambda: store_owners(fleet).get(cell, former.name) != former.name, WAIT_SECONDS,
-               f"cell {cell} assigned to another instance than {former.name}")
+    wait_reassigned(fleet, cell, former)
     return former, cut_at
 
 
@@ -204,8 +213,7 @@
     cell, former = find_cell(fleet, 2)
     former.signal(signal.SIGSTOP)
     frozen_at = time.monotonic()
-    wait_until(lambda: store_owners(fleet).get(cell, former.name) != former.name, WAIT_SECONDS,
-               f"cell {cell} assigned to another instance than {former.name}")
+    wait_reassigned(fleet, cell, former)
     others = others_than(fleet, former)
     job, uncancelled = job_id(0x1000), job_id(0x1001)
     for each in (job, uncancelled):
--- a/tests/process/store_gate.py
+++ b/tests/process/store_gate.py
@@ -7,6 +7,7 @@
 from job_fleet import JobFleet
 
 READ_BYTES = 65536
+STOP_SECONDS = 5
 
 
 class StoreGate:
@@ -31,6 +32,7 @@
 
     def stop(self):
         self.close()
+        self._run(self._wait_for_connections())
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
@@ -43,6 +45,11 @@
             for transport in self._transports:
                 transport.abort()
 
+    async def _wait_for_connections(self):
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        if others:
+            await asyncio.wait(others, timeout=STOP_SECONDS)
+
     async def _serve(self, reader, writer):
         if not self._is_open:
             return writer.transport.abort()
