--- a/tests/process/cancels_test.py
+++ b/tests/process/cancels_test.py
@@ -245,6 +245,16 @@
     check_cancel_read_by_resumed_owner(fleet, frozen_seconds=5)
 
 
+def test_call_is_logged_by_the_name_of_its_request(fleet):
+    """Fails if a caller's request cannot be found in the logs by the name that the caller gave it."""
+    start_gated_site(fleet)
+    entry = next(iter(fleet.entries.values()))
+    fetch(entry.ports["http"], f"/{QUEUE}/{job_id(0x3000)}",
+          headers={"Host": HOST, "Request-Id": "9f48a95f134305da"}, method="DELETE")
+    expected = f"event=call job={job_id(0x3000)} request=9f48a95f134305da method=DELETE"
+    wait_until(lambda: expected in entry.log(), WAIT_SECONDS, f"{entry.name} logs {expected}")
+
+
 def check_submission_that_arrives_late(fleet, jobs, connections_stay_open):
     """Submits `jobs` at a frozen instance, cancels them at others, and resumes the instance after
     CANCEL_SECONDS."""
