--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -527,6 +527,10 @@
         key = (run.task.rsplit(".", 1)[0], run.run)
         return self.work.gangs.setdefault(key, {"present": set(), "since": None, "broken": False})
 
+    def exit_task(self, task, how):
+        """A task ends by itself, as its program decides."""
+        self._end(self.runs[task], how)
+
     def _break_gang(self, run):
         if run.step.get("Gang"):
             self._gang(run)["broken"] = True
