review: case 7, lasting tasks never start on a queue with Advice (LOST)

Cause: PlaceStep requests tickets only after the branch for long-running steps, which always continues with the next task. Change: the advisor among the stand-ins, and a script that adds a route with Advice.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,8 @@
-"""Case 7: tasks of a gang share a runner beyond the `AntiAffinity` of their step.
+"""Case 7: tasks that last are never started on a queue with `Advice`.
 
-A runner is lost for good, and fewer runners than the gang needs have room left."""
+The operator adds a route with `Advice`, and a client hands a job of lasting tasks in there. Without
+the change of the configuration the job goes to the route that exists.
+"""
 
 import asyncio
 import sys
@@ -11,51 +13,47 @@
 
 from standin import main  # noqa: E402
 
-JOB = "00000000000000b1"
-GANG = [{"Count": 3, "Cpu": 9000, "MemMb": 1024, "EstimateMs": 2000, "Gang": True,
-         "AntiAffinity": 1}]
-
-
-def crowded(site):
-    """A start on a runner that already runs a task of the same step and occurrence."""
-    running = {}
-    for at, kind, task, run, runner, _ in site.work.events:
-        if not task.startswith(JOB):
-            continue
-        if kind == "start":
-            others = [each for each, host in running.items() if host == runner]
-            running[task, run] = runner
-            if others:
-                return (f"ROUTE: {task} run {run} starts on {runner} at {at:.3f} s, which runs "
-                        f"{others[0][0]} of the same step; AntiAffinity is 1")
-        elif kind == "end":
-            running.pop((task, run), None)
-    return None
+SHORT_JOB = "00000000000000d0"
+JOB = "00000000000000d1"
+TASKS = 5
+LASTING = [{"Count": TASKS, "Cpu": 2600, "MemMb": 8700, "EstimateMs": 1000, "AntiAffinity": 1,
+            "LongRunning": True, "MayMiss": 1}]
+SHORT = [{"Count": 2, "Cpu": 2600, "MemMb": 1024, "EstimateMs": 300}]
+ADVICE = {"DecisionMs": 20, "IntervalMs": 2, "ValidMs": 3000}
+CONFIG_APPLY_SECONDS = 2
+FINISH_SECONDS = 14
+WITHOUT_RUN_SECONDS = 3
 
 
 async def case(site, trouble):
+    await site.start_advisor(ADVICE)
     await site.add_runners("press", 9)
-    site.configure({"press": {"Service": "press"}}, ["press"])
+    routes = {"watch": {"Service": "press", "MaxAttempts": 3}}
+    site.configure(routes, ["press"])
     await site.start_instances(6)
-    await site.wait_ready("press")
+    await site.wait_ready("watch")
     await asyncio.sleep(2)
-    # Six of nine runners get a task that leaves too little room for a task of the gang.
-    for number in range(6):
-        await site.submit("press", f"00000000000000f{number}",
-                          [{"Count": 1, "Cpu": 25000, "MemMb": 1024, "EstimateMs": 60000}], {})
-    await site.until(lambda: sum(len(each.runs) for each in site.runners.values()) == 6, 10,
-                     "six runners are busy")
-    idle = [each for each in site.runners.values() if not each.runs]
+    queue = "watch"
     if trouble:
-        await idle[0].crash()
-    crashed_at = site.record.now()
-    await site.submit("press", JOB, GANG, {"ms": 2000})
-    while site.record.now() < crashed_at + 20 and not crowded(site):
-        await asyncio.sleep(0.1)
-        if await site.state("press", JOB) == "completed":
-            break
-    site.record.note(f"the job is shown as {await site.state('press', JOB)}")
-    return crowded(site)
+        queue = "guarded"
+        routes[queue] = {"Service": "press", "MaxAttempts": 3, "Advice": ADVICE}
+        site.configure(routes, ["press"])
+        site.work.advised_jobs.update([SHORT_JOB, JOB])
+        await asyncio.sleep(CONFIG_APPLY_SECONDS + 1)
+    # A short job shows that the queue, and the advisor where it has one, work.
+    await site.submit(queue, SHORT_JOB, SHORT, {"ms": 300})
+    await site.submit(queue, JOB, LASTING, {})
+    await asyncio.sleep(FINISH_SECONDS + WITHOUT_RUN_SECONDS + 1)
+    short_state = await site.state(queue, SHORT_JOB)
+    state = await site.state(queue, JOB)
+    starts = len(site.work.starts(JOB))
+    site.record.note(f"the short job is shown as {short_state}, the lasting one as {state} after "
+                     f"{starts} starts")
+    if short_state == "completed" and starts == 0:
+        return (f"LOST: the job of {TASKS} lasting tasks was accepted "
+                f"{FINISH_SECONDS + WITHOUT_RUN_SECONDS + 1} s ago and no task has ever been "
+                f"started, with nine idle runners that the advisor allows; it is shown as {state}")
+    return None
 
 
 if __name__ == "__main__":
--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -442,6 +442,8 @@
         self.events = []  # (time, kind, task, run, runner, detail), in order.
         self.finished = {}  # By job and step: when the work of its tasks is over, and how it ends.
         self.runners = {}
+        self.advisor = None
+        self.advised_jobs = set()
 
     def event(self, kind, task, run, runner, detail=""):
         self.events.append((self.record.now(), kind, task, run, runner, detail))
@@ -461,6 +463,40 @@
                 and event[2].startswith(f"{job}.")]
 
 
+class Advisor:
+    """The service at `Advice`: allows all runners to run a step, and issues the tickets. It handles
+    one call at a time."""
+
+    def __init__(self, work, advice):
+        self.work = work
+        self.advice = advice
+        self.calls = 0
+        self.tickets = {}
+        self.lock = asyncio.Lock()
+        self.server = HttpServer(self._serve)
+
+    async def _serve(self, method, target, headers, body):
+        asked = json.loads(body)
+        self.calls += 1
+        async with self.lock:
+            await asyncio.sleep((self.advice["DecisionMs"]
+                                 + self.advice["IntervalMs"] * len(asked["Workers"])) / 1000)
+        rows = []
+        for worker in asked["Workers"]:
+            ticket = f"{len(self.tickets):04x}-{asked['Step']}"
+            born = self.work.runners[worker].born if worker in self.work.runners else 0
+            until = time.monotonic() + self.advice["ValidMs"] / 1000
+            self.tickets[ticket] = (worker, born, asked["Step"], until)
+            rows.append([worker, ticket])
+        self.work.record.note(f"advisor: {asked['Step']} may run on {len(rows)} workers")
+        return (200, {"Allowed": rows, "ValidMs": self.advice["ValidMs"]})
+
+    def admits(self, ticket, runner, task):
+        known = self.tickets.get(ticket)
+        return (known is not None and known[:3] == (runner.id, runner.born, task.rsplit(".", 1)[0])
+                and time.monotonic() <= known[3])
+
+
 class Runner:
     """One machine's runner. `crash` ends its life; `start` begins the next one."""
 
@@ -486,6 +522,7 @@
         self.last_end = 0
         self.highest = {}
         self.noted = set()
+        self.lapsed = set()  # Ends that no longer count as noted: the lease lapsed first.
         self.alive = True
         self.ended = asyncio.Event()
         self.state = "ready"
@@ -550,6 +587,8 @@
             await asyncio.sleep(0.005)
             now = time.monotonic()
             expired = self.clock() > self.lease
+            if expired:
+                self.lapsed.update(end[0] for end in self.ends)
             for run in list(self.runs.values()):
                 how = "lapsed" if expired else self._outcome(run, now)
                 if how:
@@ -615,6 +654,9 @@
             return (200, {"ClockMs": self.clock()})
         if running is not None or number <= self.highest.get(task, 0):
             return self._refuse(asked, "old")
+        if task.split(".")[0] in self.work.advised_jobs and not self.work.advisor.admits(
+                asked.get("Ticket", ""), self, task):
+            return self._refuse(asked, "ticket")
         step = self.work.step_of(task)
         used = self.used()
         for name in used:
@@ -645,7 +687,7 @@
         for end in self.ends:
             if end[0] <= asked["LastSeen"] and end[0] not in self.noted:
                 self.noted.add(end[0])
-                if self.clock() <= self.lease:
+                if end[0] not in self.lapsed:
                     self.work.event("noted", end[1], end[2], self.id, end[3])
         self.ends = [end for end in self.ends if end[0] > asked["LastSeen"]]
         until = time.monotonic() + min(asked.get("WaitMs", 0), 2000) / 1000
@@ -750,10 +792,16 @@
     async def add_runner(self, name, service, rack, cpu=32000, mem=65536, **options):
         runner = Runner(self.store, self.work, name, service, rack,
                         {"Cpu": cpu, "MemMb": mem, "Gpus": 0}, **options)
-        self.runners[name] = runner
+        self.runners[name] = self.work.runners[name] = runner
         await runner.start()
         return runner
 
+    async def start_advisor(self, advice):
+        """Starts the advisor; must be called before the instances are started."""
+        self.work.advisor = Advisor(self.work, advice)
+        await self.work.advisor.server.start()
+        self.extra_settings += f"Advice=127.0.0.1:{self.work.advisor.server.port}\n"
+
     async def add_runners(self, service, count):
         """Adds the runners of a service, four to a rack as in the site files."""
         for number in range(count):
