--- a/review/standin-2/standin.py
+++ b/review/standin-2/standin.py
@@ -24,6 +24,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "jobs.example"
+SPARE_POOL = "spare"  # A pool without machines: all of them are lent out.
 RECORD_BYTES = 262144
 CALL_BYTES = 2097152
 APPEND_SECONDS = 0.004  # AppendMs of the site files.
@@ -498,6 +499,24 @@
                 and time.monotonic() <= known[3])
 
 
+class Cloud:
+    """The machine API. All machines are in use: there is none to spare, and none that may move."""
+
+    def __init__(self, work):
+        self.work = work
+        self.server = HttpServer(self._serve)
+
+    async def _serve(self, method, target, headers, body):
+        if method == "POST":
+            self.work.record.note(f"cloud: {target} {body.decode()} is refused (busy)")
+            return (409, {"Reason": "busy"})
+        rows = [{"Machine": f"m-{runner.id}", "Pool": runner.service,
+                 "State": "up" if runner.alive else "down", "Zone": "dc0",
+                 "Labels": runner.labels, "Capacity": runner.capacity, "Id": runner.id}
+                for runner in self.work.runners.values()]
+        return (200, {"Machines": rows, "NextToken": None})
+
+
 class Runner:
     """One machine's runner. `crash` ends its life; `start` begins the next one."""
 
@@ -818,13 +837,18 @@
         config = {"Version": self.version, "Routes": rows,
                   "Services": [{"Name": name, "HealthPath": "/health", "MaxConns": 64,
                                 "Protocol": "h1", "Tls": False, "EnforcesCapacity": True,
-                                "Standby": False} for name in services],
+                                "Standby": name == SPARE_POOL}
+                               for name in [*services, SPARE_POOL]],
                   "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 262144,
                              "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000}}
         self.store.put("keyed.op", "config", json.dumps(config).encode())
         self.record.note(f"operator: configuration {self.version} is acknowledged")
 
     async def start_instances(self, count):
+        cloud = Cloud(self.work)
+        await cloud.server.start()
+        self.extra_settings += (f"CloudApi.Address=127.0.0.1:{cloud.server.port}\n"
+                                "CloudApi.RatePerS=64.0\nCloudApi.DutyPerS=64.0\n")
         for number in range(count):
             instance = Instance(self, f"instance{number}")
             self.instances[instance.name] = instance
