--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -205,11 +205,23 @@
   return response;
 }
 
+/// Returns the batch with which everything that the cell has handled so far is stored. It may be
+/// stored already.
+BatchNumber Cell::BatchOfAllChanges() const {
+  return dirty_.empty() ? commits_.newest_batch() : commits_.last_batch() + 1;
+}
+
+/// Returns the last batch that is stored. While nothing waits for the next one it counts as stored,
+/// too: all of its records may have been withdrawn.
+BatchNumber Cell::StoredBatch() const {
+  return flushed() ? commits_.last_batch() + 1 : commits_.stored_batch();
+}
+
 BatchNumber Cell::MarkDirty(JobEntry* entry) {
-  const BatchNumber batch = commits_.last_batch() + 1;
   const JobId& id = entry->job.id();
   dirty_.insert(id);
   jobs_to_rank_.insert(id);
+  const BatchNumber batch = BatchOfAllChanges();
   auto& updates = deferred_updates_[batch];
   const auto same = std::find_if(updates.begin(), updates.end(), [&](const DeferredUpdate& update) {
     return update.job == id && update.state == entry->job.state();
@@ -286,7 +298,6 @@
   ConfirmCancelledIds(batch);
   limits_.Confirm(batch);
   UpdateLimitedRunners();
-  RecordStoredResults(time);
   schedule_requested_ = true;
 }
 
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -247,6 +247,8 @@
   void EraseJob(const JobId& id);
   void Respond(CallNumber call, CallResponse response);
   BatchNumber MarkDirty(JobEntry* entry);
+  BatchNumber BatchOfAllChanges() const;
+  BatchNumber StoredBatch() const;
   void FlushDirty();
   void Refuse(CallNumber call, const JobId& id, std::string_view reason);
   void LogCancel(const JobId& id, std::string_view state, Instant now) const;
@@ -305,7 +307,7 @@
   void FreeVanishedRuns(Runner* runner, const RunnerReport& report, CellTime time);
   void UpdatePace(Runner* runner, const RunnerReport& report);
   std::chrono::milliseconds PauseBeforePoll(const Runner& runner) const;
-  void RecordStoredResults(CellTime time);
+  void RecordStoredResults(Runner* runner, Instant now) const;
   LiveRun* FindRun(Runner* runner, const TaskId& task, RunNumber run);
   void AddRun(Runner* runner, const TaskId& task, LiveRun run);
   void RemoveRun(Runner* runner, const TaskId& task);
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -55,14 +55,12 @@
     StoreRunnerRecords();
   }
   if (!runner->more_results) MarkReconciled(runner->key, time.now);
+  // A result that changes nothing may rest on a change that is not stored, such as one by the
+  // result of another member of its gang.
   if (runner->applied_result > applied_before) {
-    const bool stores = !dirty_.empty() || !runner->results_by_batch.empty();
-    if (stores) {
-      runner->results_by_batch.emplace_back(commits_.last_batch() + 1, runner->applied_result);
-    } else {
-      runner->stored_result = runner->applied_result;
-    }
+    runner->results_by_batch.emplace_back(BatchOfAllChanges(), runner->applied_result);
   }
+  RecordStoredResults(runner, time.now);
   const bool unstored = runner->stored_result < runner->applied_result;
   runner->next_poll_at =
       time.now + (unstored ? options_.unstored_poll_interval : PauseBeforePoll(*runner));
@@ -74,14 +72,13 @@
   return runner.more_results ? std::chrono::milliseconds(0) : options_.min_poll_interval;
 }
 
-void Cell::RecordStoredResults(CellTime time) {
-  for (auto& [key, runner] : runners_) {
-    while (!runner.results_by_batch.empty() &&
-           runner.results_by_batch.front().first <= commits_.last_batch()) {
-      runner.stored_result = runner.results_by_batch.front().second;
-      runner.results_by_batch.pop_front();
-      runner.next_poll_at = std::min(runner.next_poll_at, time.now + PauseBeforePoll(runner));
-    }
+/// Updates which results may be acknowledged: those that rest on stored batches only.
+void Cell::RecordStoredResults(Runner* runner, Instant now) const {
+  const BatchNumber stored = StoredBatch();
+  while (!runner->results_by_batch.empty() && runner->results_by_batch.front().first <= stored) {
+    runner->stored_result = runner->results_by_batch.front().second;
+    runner->results_by_batch.pop_front();
+    runner->next_poll_at = std::min(runner->next_poll_at, now + PauseBeforePoll(*runner));
   }
 }
 
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -208,6 +208,7 @@
     }
     UpdateOpenState(&runner, time.now);
     if (runner.stopping_runs > 0) AdvanceStops(&runner, time);
+    RecordStoredResults(&runner, time.now);
     MaybePoll(&runner, time);
   }
   for (const RunnerKey key : lost) {
--- a/cells/commit_queue.cc
+++ b/cells/commit_queue.cc
@@ -8,7 +8,7 @@
 BatchNumber CommitQueue::Put(std::string key, std::optional<std::string> value) {
   waiting_bytes_ += key.size() + (value ? value->size() : 0);
   waiting_.insert_or_assign(std::move(key), std::move(value));
-  return last_batch_ + 1;
+  return newest_batch();
 }
 
 void CommitQueue::Withdraw(const std::string& prefix) {
--- a/cells/commit_queue.h
+++ b/cells/commit_queue.h
@@ -66,6 +66,14 @@
   /// The number of the last batch of which `Next` returned an append.
   BatchNumber last_batch() const { return last_batch_; }
 
+  /// The batch that contains the newest record: the next one if any record waits, else the last.
+  BatchNumber newest_batch() const { return waiting_.empty() ? last_batch_ : last_batch_ + 1; }
+
+  /// The last batch of which all appends are stored.
+  BatchNumber stored_batch() const {
+    return parts_.empty() && !in_flight_since_ ? last_batch_ : last_batch_ - 1;
+  }
+
  private:
   void StartBatch(Instant now);
 
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -70,11 +70,12 @@
   Instant next_poll_at{};
   std::uint32_t failed_polls = 0;
 
-  std::uint64_t applied_result = 0;       ///< Number of the last result that was handled.
-  std::uint64_t stored_result = 0;        ///< Number of the last result whose effects are stored.
+  std::uint64_t applied_result = 0;  ///< Number of the last result that was handled.
+  /// Number of the last result that may be acknowledged: everything that it rests on is stored.
+  std::uint64_t stored_result = 0;
   std::uint64_t acknowledged_result = 0;  ///< Number of the last acknowledged result.
   bool more_results = false;              ///< See `RunnerReport`; as in the last report.
-  /// Batches that are not stored yet, each with the last result whose effects it carries.
+  /// Batches that are not stored yet, each with the last result that rests on it.
   std::deque<std::pair<BatchNumber, std::uint64_t>> results_by_batch;
 
   Resources used;
--- a/standin/job_platform_main.cc
+++ b/standin/job_platform_main.cc
@@ -120,6 +120,8 @@
       absl::Status status;
       if (query.path() == "/runner/restart") {
         runner->StartIncarnation();
+      } else if (query.path() == "/runner/complete") {
+        runner->CompleteRuns();
       } else if (query.path() == "/runner/drain") {
         runner->Drain();
       } else if (query.path() == "/runner/faults") {
--- a/standin/runner_server.h
+++ b/standin/runner_server.h
@@ -39,6 +39,9 @@
   /// Publishes that the runner is draining.
   void Drain();
 
+  /// Ends all runs successfully. Open polls are answered with the next call of `Advance`.
+  void CompleteRuns() { runner_.CompleteRuns(clock_.Now()); }
+
   /// Ends tasks whose time is over and responds to polls that have a result or reached their
   /// deadline.
   void Advance(Instant now);
--- a/standin/task_runner.cc
+++ b/standin/task_runner.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "core/http_status.h"
 #include "standin/json_response.h"
@@ -135,6 +136,11 @@
   });
 }
 
+void TaskRunner::CompleteRuns(Instant now) {
+  Advance(now);
+  for (const auto& [task, run] : std::exchange(runs_, {})) FinishRun(task, run, "done");
+}
+
 void TaskRunner::FinishRun(const std::string& task, const Run& run, const std::string& outcome) {
   highest_finished_runs_[task] = std::max(highest_finished_runs_[task], run.run);
   results_.push_back(
--- a/standin/task_runner.h
+++ b/standin/task_runner.h
@@ -31,6 +31,9 @@
   /// Ends the runs whose time is over, and all runs when the lease has lapsed.
   void Advance(Instant now);
 
+  /// Ends all runs with the outcome `done`.
+  void CompleteRuns(Instant now);
+
   bool has_results() const { return !results_.empty(); }
   std::chrono::milliseconds started_at() const { return started_at_; }
 
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "core/digest.h"
+#include "tests/cells/job_shapes.h"
 #include "tests/cells/store_limit_check.h"
 
 namespace wigeonlane {
@@ -25,66 +25,6 @@
 /// Lower than those of the platform, so that batches of a few jobs exceed a call.
 constexpr StoreLimits kStoreLimits{800, 1'000};
 
-StepSpec Step(std::uint32_t count, std::int64_t cpu) {
-  StepSpec step;
-  step.count = count;
-  step.need = {cpu, 1'000, 0};
-  step.estimate = milliseconds(400);
-  return step;
-}
-
-/// Returns steps of different shapes: wide, chained, large, long-running, a diamond, a single task.
-JobSpec SpecOf(std::size_t shape) {
-  JobSpec spec;
-  switch (shape % 6) {
-    case 0:
-      spec.steps = {Step(2, 1'000)};
-      break;
-    case 1:
-      spec.steps = {Step(3, 1'500), Step(2, 2'000)};
-      spec.steps[1].after = {0};
-      break;
-    case 2:
-      spec.steps = {Step(4, 6'000)};
-      break;
-    case 3:
-      spec.steps = {Step(2, 500)};
-      spec.steps[0].long_running = true;
-      spec.steps[0].max_per_runner = 1;
-      spec.steps[0].max_unavailable = 1;
-      break;
-    case 4:
-      spec.steps = {Step(1, 1'000), Step(2, 1'000), Step(2, 1'000), Step(1, 2'000)};
-      spec.steps[1].after = {0};
-      spec.steps[2].after = {0};
-      spec.steps[3].after = {1, 2};
-      break;
-    default:
-      spec.steps = {Step(1, 3'000)};
-      break;
-  }
-  return spec;
-}
-
-std::uint64_t Mix(std::uint64_t value) {
-  value ^= value >> 33U;
-  value *= 0xff51afd7ed558ccdULL;
-  value ^= value >> 33U;
-  return value;
-}
-
-/// Derives the outcome of a run from the payload, which contains a number from the fuzzer.
-TaskOutcome OutcomeOf(const StartCommand& command, const StepSpec& step) {
-  const std::uint64_t dice =
-      Mix(ShortDigestOf(command.task.ToString() + command.payload) + command.run);
-  TaskOutcome outcome;
-  outcome.duration = milliseconds(200 + dice % 700);
-  const bool hopeless = command.payload.ends_with("hopeless");
-  outcome.fails = hopeless || dice % 16 == 0;
-  if (step.long_running && !outcome.fails) outcome.duration = std::chrono::hours(1);
-  return outcome;
-}
-
 }  // namespace
 
 CellWorld::CellWorld() : now_(Duration(std::chrono::hours(1))) {
@@ -124,7 +64,12 @@
     action();
   }
   now_ = until;
+  AdvanceRunners();
+}
+
+void CellWorld::AdvanceRunners() {
   for (SimRunner& runner : runners_) runner.Advance(now_, &oracle_);
+  gangs_.Advance(&runners_, now_, &oracle_);
 }
 
 void CellWorld::OnOwner(std::size_t index, const std::function<void(Owner*)>& action) {
@@ -198,7 +143,7 @@
 void CellWorld::Renew(std::size_t index) {
   OnOwner(index, [this, index](Owner* owner) {
     const bool confirmed = index == holder_ && !owner->handing_over;
-    if (confirmed && now_ >= store_.down_until && owner->cell != nullptr) {
+    if (confirmed && StoreServes(*owner) && owner->cell != nullptr) {
       owner->cell->ExtendAuthority(now_ + CellOptions().authority);
       SendListings(owner);
       Pump(index);
@@ -254,10 +199,11 @@
 
 void CellWorld::Append(std::size_t index, const AppendRequest& request) {
   const TermToken token = owners_[index]->token;
-  After(milliseconds(4), [this, index, request, token] {
+  const bool late = late_appends_ > 0 && late_appends_-- > 0;
+  After(milliseconds(4) + (late ? append_delay_ : milliseconds(0)), [this, index, request, token] {
     const bool lost = lost_append_responses_ > 0 && lost_append_responses_-- > 0;
     const AppendResult result =
-        now_ < store_.down_until ? AppendResult::kRefused : StoreAppend(token, request);
+        StoreServes(*owners_[index]) ? StoreAppend(token, request) : AppendResult::kRefused;
     const milliseconds response_delay = lost ? milliseconds(1'000) : milliseconds(1);
     After(response_delay, [this, index, request, result, lost] {
       OnOwner(index, [=, this](Owner* owner) {
@@ -277,6 +223,10 @@
   });
 }
 
+bool CellWorld::StoreServes(const Owner& owner) const {
+  return now_ >= store_.down_until && now_ >= owner.store_cut_until;
+}
+
 AppendResult CellWorld::StoreAppend(TermToken epoch, const AppendRequest& request) {
   if (epoch < store_.epoch) return AppendResult::kFenced;
   if (request.sequence <= store_.last_sequence) return AppendResult::kStored;
@@ -321,7 +271,7 @@
   const std::pair<std::size_t, std::string> connection(index, id);
   const milliseconds connected_to = command_connections_[connection];
   After(delay, [=, this] {
-    for (SimRunner& runner : runners_) runner.Advance(now_, &oracle_);
+    AdvanceRunners();
     for (SimRunner& runner : runners_) {
       if (runner.listing.id != id || !runner.alive || IsCut(index, runner)) continue;
       if (!late && (connected_to != known || connected_to != runner.listing.started_at)) {
@@ -398,6 +348,7 @@
 
 /// Responds once the runner has a result to report or the wait is over.
 void CellWorld::AnswerPoll(std::size_t index, const PollRequest& request, const PendingPoll& poll) {
+  if (has_gangs_) AdvanceRunners();
   SimRunner& runner = runners_[poll.runner];
   const auto respond = [this, index, request](CommandStatus status,
                                               const std::optional<RunnerReport>& report) {
@@ -473,11 +424,20 @@
 }
 
 void CellWorld::Submit(std::size_t shape, std::size_t outcome_seed, std::size_t owner) {
+  SubmitSpec(SpecOf(shape), outcome_seed, owner);
+}
+
+void CellWorld::SubmitGang(std::size_t shape, std::size_t outcome_seed) {
+  has_gangs_ = true;
+  SubmitSpec(GangSpecOf(shape), outcome_seed, 0);
+}
+
+void CellWorld::SubmitSpec(JobSpec spec, std::size_t outcome_seed, std::size_t owner) {
   std::string digits(JobId::kLength, '0');
   const std::string number = std::to_string(submitted_.size());
   digits.replace(digits.size() - number.size(), number.size(), number);
   Submitted job{*JobId::Parse(digits), {}};
-  job.record.spec = SpecOf(shape);
+  job.record.spec = std::move(spec);
   job.record.spec.payload = std::to_string(outcome_seed) + (outcome_seed < 16 ? "hopeless" : "");
   job.record.policy.name = kQueue;
   job.record.policy.service = kService;
@@ -601,7 +561,14 @@
 
 void CellWorld::DelayCommands(std::size_t count) { delayed_commands_ = count; }
 void CellWorld::LoseAppendResponses(std::size_t count) { lost_append_responses_ = count; }
+void CellWorld::DelayAppends(std::size_t count, milliseconds delay) {
+  late_appends_ = count;
+  append_delay_ = delay;
+}
 void CellWorld::StoreDown(milliseconds duration) { store_.down_until = now_ + duration; }
+void CellWorld::CutOwnerFromStore(milliseconds duration) {
+  owners_.back()->store_cut_until = now_ + duration;
+}
 
 bool CellWorld::CancelAcknowledged(std::size_t job) const {
   return oracle_.WasCancelled(submitted_[job].id);
@@ -619,7 +586,7 @@
 }
 
 void CellWorld::EndFaultsAndCheck() {
-  delayed_commands_ = lost_append_responses_ = delayed_submissions_ = 0;
+  delayed_commands_ = lost_append_responses_ = delayed_submissions_ = late_appends_ = 0;
   for (SimRunner& runner : runners_) {
     runner.listing.draining = false;
     if (!runner.alive) runner.Restart(now_, &oracle_);
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -15,6 +15,7 @@
 #include "cells/cell.h"
 #include "cells/job_store.h"
 #include "tests/cells/job_oracle.h"
+#include "tests/cells/sim_gangs.h"
 #include "tests/cells/sim_runner.h"
 
 namespace wigeonlane {
@@ -33,6 +34,8 @@
   /// Here and below, `owner` says whom the call reaches: 0 is the newest owner, other numbers
   /// choose one of all owners that serve callers, former ones without renewals among them.
   void Submit(std::size_t shape, std::size_t outcome_seed, std::size_t owner = 0);
+  /// The same for a job whose first step is a gang. It reaches the newest owner.
+  void SubmitGang(std::size_t shape, std::size_t outcome_seed);
   /// A caller submits an earlier job again under the same id.
   void Repeat(std::size_t which, std::size_t owner = 0);
   /// A caller cancels a job, whether or not its submission has arrived or was accepted.
@@ -79,7 +82,11 @@
   void DelayCommands(std::size_t count);
   /// The next `count` appends are stored but get no response in time.
   void LoseAppendResponses(std::size_t count);
+  /// The next `count` appends reach the store later by `delay`.
+  void DelayAppends(std::size_t count, std::chrono::milliseconds delay);
   void StoreDown(std::chrono::milliseconds duration);
+  /// The store refuses the calls of the newest owner, and serves those of its successors.
+  void CutOwnerFromStore(std::chrono::milliseconds duration);
 
   /// Ends the injected faults, waits, and checks the final state of every job.
   void EndFaultsAndCheck();
@@ -107,7 +114,8 @@
     std::optional<std::chrono::milliseconds> observation_delay;  ///< See `SetTermObservationDelay`.
     std::vector<RunnerListing> listed;  ///< The listings that it received last.
     Instant frozen_until{};
-    Instant next_wake{};  ///< Time of the pending wake-up; in the past if there is none.
+    Instant store_cut_until{};  ///< See `CutOwnerFromStore`.
+    Instant next_wake{};        ///< Time of the pending wake-up; in the past if there is none.
     std::map<CallNumber, Submission> submits;
     std::map<CallNumber, JobId> cancels;
   };
@@ -166,6 +174,9 @@
   std::size_t ChooseOwner(std::size_t choice) const;
   /// Runs `action` on the chosen owner if it serves callers.
   void OnServingOwner(std::size_t choice, const std::function<void(Owner*)>& action);
+  void AdvanceRunners();
+  bool StoreServes(const Owner& owner) const;
+  void SubmitSpec(JobSpec spec, std::size_t outcome_seed, std::size_t owner);
   void Send(const Submitted& job, std::size_t choice);
   void Deliver(const Submitted& job, std::size_t choice, bool awaited);
   CallResponse ShowAt(const Owner& owner, const JobId& id) const;
@@ -175,6 +186,8 @@
   std::vector<std::unique_ptr<Owner>> owners_;
   Store store_;
   std::vector<SimRunner> runners_;
+  SimGangs gangs_;
+  bool has_gangs_ = false;  ///< A job with a gang was submitted.
   std::map<std::string, OneSidedCut> one_sided_cuts_;  ///< By runner id.
   JobOracle oracle_;
   std::vector<Submitted> submitted_;
@@ -188,6 +201,8 @@
   TermToken generation_ = 0;  ///< Token of an owner that starts in the present generation.
   std::size_t delayed_commands_ = 0;
   std::size_t lost_append_responses_ = 0;
+  std::size_t late_appends_ = 0;
+  std::chrono::milliseconds append_delay_{0};
   std::size_t delayed_submissions_ = 0;
   std::chrono::milliseconds submission_delay_{0};
   std::uint64_t mix_ = 1;  ///< Varies latencies deterministically.
--- a/tests/cells/job_oracle.h
+++ b/tests/cells/job_oracle.h
@@ -93,6 +93,7 @@
     if (end.result != RunResult::kDone) return;
     if (end.started_after) Break("TWICE: a start after the end of ", end.task);
     acknowledged_done_.insert(end.task);
+    AcknowledgeGang(end.task);
   }
 
   /// Records that no owner can learn this result: the runner crashed or its lease ended.
@@ -158,6 +159,16 @@
     CallVerdict cancel_verdict = CallVerdict::kCancelled;
   };
 
+  /// One successful result represents all members of a gang.
+  void AcknowledgeGang(const TaskId& member) {
+    const auto job = jobs_.find(member.job);
+    if (job == jobs_.end()) return;
+    const StepSpec& step = job->second.record.spec.steps[member.step];
+    for (std::uint32_t index = 0; step.gang && index < step.count; ++index) {
+      acknowledged_done_.insert({member.job, member.occurrence, member.step, index});
+    }
+  }
+
   static bool IsUnknown(const CallResponse& response) {
     return response.verdict == CallVerdict::kNotFound ||
            response.verdict == CallVerdict::kCancelledBeforeSubmit;
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -31,6 +32,7 @@
   /// Starts an owner that restores the cell from the store, with a number of equal runners listed.
   void Begin(std::size_t runners, const Resources& capacity) {
     pending_polls_.clear();
+    open_append_.reset();
     cell_ = std::make_unique<Cell>(0, ++token_, options_);
     std::vector<StoreRecord> records;
     for (const auto& [key, value] : stored_) records.push_back({key, value});
@@ -63,6 +65,12 @@
     return std::chrono::duration_cast<RunnerClock>(now_.time_since_epoch());
   }
 
+  /// Stores the append that got no answer while `store_answers_` was false.
+  void StoreOpenAppend() {
+    store_answers_ = true;
+    if (const auto append = std::exchange(open_append_, std::nullopt)) Store(*append);
+  }
+
   void AdvanceTime(std::chrono::milliseconds duration) {
     constexpr std::chrono::milliseconds kStep{5};
     for (std::chrono::milliseconds passed{0}; passed < duration; passed += kStep) {
@@ -88,23 +96,18 @@
     return std::as_const(*cell_).FindRunner(key)->listing.id;
   }
 
-  /// Completes the oldest run on a runner.
-  void EndOldest(const std::string& runner) {
+  /// Ends the oldest run on a runner, if there is any. Returns the result that the runner lists.
+  ReportedResult EndOldest(const std::string& runner, RunResult how = RunResult::kDone) {
     auto& runs = running_[runner];
-    if (runs.empty()) return;
-    results_[runner].push_back(
-        {++last_end_[runner], runs.front().task, runs.front().run, RunResult::kDone, ""});
+    if (runs.empty()) return {};
+    const ReportedResult result{++last_end_[runner], runs.front().task, runs.front().run, how, ""};
+    results_[runner].push_back(result);
     runs.erase(runs.begin());
+    return result;
   }
 
   /// Fails the oldest run on a runner.
-  void FailOldest(const std::string& runner) {
-    auto& runs = running_[runner];
-    if (runs.empty()) return;
-    results_[runner].push_back(
-        {++last_end_[runner], runs.front().task, runs.front().run, RunResult::kFailed, ""});
-    runs.erase(runs.begin());
-  }
+  void FailOldest(const std::string& runner) { EndOldest(runner, RunResult::kFailed); }
 
   /// Completes all runs.
   void EndAll() {
@@ -176,7 +179,10 @@
   }
 
   void Store(const AppendRequest& append) {
-    if (!store_answers_) return;
+    if (!store_answers_) {
+      open_append_ = append;
+      return;
+    }
     appends_.push_back(CallSize(append));
     if (!FitsLimits(append, store_limits_)) {
       ++rejected_appends_;
@@ -214,6 +220,7 @@
     cell_->HandlePollResponse(poll, CommandStatus::kDone, report, Time());
   }
 
+  std::optional<AppendRequest> open_append_;
   /// With the times of their timeouts.
   std::deque<std::pair<Instant, PollRequest>> pending_polls_;
 };
--- a/tests/cells/sim_runner.h
+++ b/tests/cells/sim_runner.h
@@ -25,7 +25,10 @@
     RunnerClock ends{0};
     bool fails = false;
     Resources load;
+    std::uint32_t gang_size = 0;  ///< Members of the gang; 0 if the task is in none.
+    RunnerClock duration{0};
   };
+  using Runs = std::map<TaskId, Run>;
 
   SimRunner(RunnerListing initial_listing, Instant start)
       : listing(std::move(initial_listing)), started_at_(start) {}
@@ -78,7 +81,11 @@
       return CommandStatus::kOldRun;
     }
     oracle->Started(command.task, command.payload, late, now);
-    runs_[command.task] = {command.run, clock + outcome.duration, outcome.fails, step.Load()};
+    // `SimGangs` ends the members of gangs.
+    const RunnerClock ends = step.gang ? RunnerClock::max() : clock + outcome.duration;
+    runs_[command.task] = {
+        command.run,     ends, outcome.fails, step.Load(), step.gang ? step.count : 0,
+        outcome.duration};
     if (!late && !listing.capacity.Holds(Used())) oracle->Overfull(listing.id);
     return CommandStatus::kDone;
   }
@@ -124,6 +131,11 @@
 
   bool HasResults() const { return !results_.empty(); }
 
+  const Runs& runs() const { return runs_; }
+  void EndRun(const TaskId& task, RunResult result, JobOracle* oracle) {
+    EndRun(runs_.find(task), result, oracle);
+  }
+
   /// Crashes the runner. Its results are lost.
   void Crash(JobOracle* oracle) {
     alive = false;
@@ -149,8 +161,6 @@
   /// Lower than the platform's limit, so that runs of a few jobs exceed it.
   static constexpr std::size_t kMaxListedResults = 3;
 
-  using Runs = std::map<TaskId, Run>;
-
   Runs::iterator EndRun(Runs::iterator run, RunResult end, JobOracle* oracle) {
     results_.push_back({++last_end_, run->first, run->second.run, end, ""});
     highest_run_[run->first] = std::max(highest_run_[run->first], run->second.run);
