--- a/cells/cancelled_ids.h
+++ b/cells/cancelled_ids.h
@@ -10,10 +10,12 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "absl/status/statusor.h"
 #include "cells/cell_types.h"
 #include "cells/commit_queue.h"
 #include "core/clock.h"
@@ -34,6 +36,10 @@
   }
 };
 
+/// Decodes a record of this version or an earlier one, which stored no address. Errors:
+/// InvalidArgument.
+absl::StatusOr<CancelledId> DecodeCancelledId(std::string_view bytes);
+
 /// Keeps cancelled ids until they expire, and the calls that wait until one is stored.
 class CancelledIds {
  public:
--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -64,20 +64,30 @@
 
 Cell::JobEntry* Cell::AddJob(std::unique_ptr<JobEntry> entry) {
   const JobId id = entry->job.id();
-  ++jobs_by_queue_[{entry->job.policy().name, entry->job.policy().service}];
+  ++jobs_by_queue_[{entry->queue, entry->job.policy().service}];
   return jobs_.emplace(id, std::move(entry)).first->second.get();
 }
 
 void Cell::EraseJob(const JobId& id) {
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) return;
-  const QueuePolicy& policy = found->second->job.policy();
-  const auto count = jobs_by_queue_.find({policy.name, policy.service});
+  const JobEntry& entry = *found->second;
+  const auto count = jobs_by_queue_.find({entry.queue, entry.job.policy().service});
   if (--count->second == 0) jobs_by_queue_.erase(count);
   jobs_.erase(found);
 }
 
-bool Cell::Holds(const JobId& id) const {
+/// Whether the cell holds the id for another queue. Callers choose ids, so two queues may have the
+/// same one.
+bool Cell::IsHeldForOther(const JobId& id, const QueueAddress& queue) const {
+  const auto job = jobs_.find(id);
+  if (job != jobs_.end()) return !job->second->queue.MayBe(queue);
+  const CancelledIds::Entry* cancelled = cancelled_ids_.Find(id);
+  return cancelled != nullptr && !cancelled->id.queue.queue.MayBe(queue);
+}
+
+bool Cell::Holds(const JobId& id, const QueueAddress& queue) const {
+  if (IsHeldForOther(id, queue)) return false;
   const CancelledIds::Entry* cancelled = cancelled_ids_.Find(id);
   return jobs_.contains(id) || (cancelled != nullptr && cancelled->submission_stored);
 }
@@ -94,6 +104,13 @@
 }
 
 void Cell::Submit(CallNumber call, const JobId& id, JobRecord record, CellTime time) {
+  if (IsHeldForOther(id, record.queue)) {
+    LogDecision("refuse", {{"job", std::string(id.text())},
+                           {"cell", Concat(number_)},
+                           {"why", "id_in_use"},
+                           {"address", record.queue.ToString()}});
+    return Respond(call, {CallVerdict::kIdInUse});
+  }
   if (JobEntry* existing = FindJob(id)) {
     if (existing->accepted) return Respond(call, {CallVerdict::kAccepted});
     existing->accept_calls.push_back(call);
@@ -116,7 +133,8 @@
   }
   const BatchNumber batch = commits_.Put(JobKey(id), std::move(value));
   auto entry = std::make_unique<JobEntry>(
-      Job(id, std::move(record.spec), std::move(record.policy), time.wall));
+      Job(id, std::move(record.spec), std::move(record.policy), time.wall),
+      std::move(record.queue));
   entry->accepted_at = time.now;
   entry->accept_batch = batch;
   entry->accept_calls.push_back(call);
@@ -171,7 +189,8 @@
   return MembershipHolds(now) ? CallVerdict::kNotFound : CallVerdict::kNotOwner;
 }
 
-CallResponse Cell::Show(const JobId& id, Instant now) const {
+CallResponse Cell::Show(const JobId& id, Instant now, const QueueAddress& queue) const {
+  if (IsHeldForOther(id, queue)) return {VerdictOnUnknown(now)};
   const auto found = jobs_.find(id);
   if (found == jobs_.end()) {
     const CancelledIds::Entry* cancelled = cancelled_ids_.Find(id);
@@ -190,7 +209,8 @@
   return response;
 }
 
-CallResponse Cell::CountPending(const std::string& queue, Instant now) const {
+CallResponse Cell::CountPending(const QueueAddress& queue, const std::string& name,
+                                Instant now) const {
   // A successor may have accepted jobs for longer than a count may be out of date.
   if (deposed_ || now >= authority_until_) {
     return {CallVerdict::kRefused, JobState::kQueued, 0, kStoreRetryAfter};
@@ -198,9 +218,10 @@
   CallResponse response{CallVerdict::kCounted};
   for (const JobId& id : open_jobs_) {
     const JobEntry& entry = *jobs_.at(id);
-    if (entry.accepted && entry.job.policy().name == queue && !entry.job.started()) {
-      ++response.pending;
-    }
+    if (!entry.accepted || entry.job.started()) continue;
+    const bool counts =
+        entry.queue.known() ? entry.queue == queue : entry.job.policy().name == name;
+    if (counts) ++response.pending;
   }
   return response;
 }
@@ -301,9 +322,10 @@
   schedule_requested_ = true;
 }
 
-void Cell::RecordArrival(const Job& job, Instant now) {
+void Cell::RecordArrival(const JobEntry& entry, Instant now) {
+  const Job& job = entry.job;
   if (job.spec().timed() || job.spec().steps.front().long_running) return;
-  const double ratio = estimates_.Ratio(job.policy().name);
+  const double ratio = estimates_.Ratio(entry.estimate_key);
   const std::string& service = job.policy().service;
   arrivals_[service].RecordArrival(
       RemainingDominantCoreSeconds(job, ratio, LargestCapacities()[service]), now);
@@ -317,11 +339,12 @@
     unaccepted_.erase(update.job);
     jobs_to_rank_.insert(update.job);
     ++counters_.accepted;
-    RecordArrival(entry->job, time.now);
+    RecordArrival(*entry, time.now);
     LogDecision("accept", {{"job", std::string(update.job.text())},
                            {"cell", Concat(number_)},
                            {"token", Concat(token_)},
                            {"queue", entry->job.policy().name},
+                           {"address", entry->queue.ToString()},
                            {"renewed_ms", MillisSinceRenewal(time.now)},
                            {"commit_ms", Concat(MillisOf(time.now - entry->accepted_at))}});
   }
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -96,15 +96,21 @@
   Instant NextWake(Instant now) const;
 
   void Submit(CallNumber call, const JobId& id, JobRecord record, CellTime time);
-  /// Cancels a job. An id that the cell does not hold is remembered as cancelled if `queue` is set,
-  /// which it is only in a call to a cell of the queue's present service.
-  void Cancel(CallNumber call, const JobId& id, const std::optional<QueueService>& queue,
-              CellTime time);
-  CallResponse Show(const JobId& id, Instant now) const;
-  CallResponse CountPending(const std::string& queue, Instant now) const;
+  /// Here and below, a job of another queue than `queue` is as if it were not there. An unknown
+  /// address may be that of any queue.
+  ///
+  /// Cancels a job. An id that the cell does not hold is remembered as cancelled if `present` is
+  /// set, which it is only in a call to a cell of the queue's present service.
+  void Cancel(CallNumber call, const JobId& id, const QueueAddress& queue,
+              const std::optional<QueueService>& present, CellTime time);
+  CallResponse Show(const JobId& id, Instant now, const QueueAddress& queue = {}) const;
+  /// Counts the jobs of a queue that have started no task. Jobs of an unknown address are counted
+  /// by the `name` that their queue had.
+  CallResponse CountPending(const QueueAddress& queue, const std::string& name, Instant now) const;
   /// Whether callers are shown a job with this id.
-  bool Holds(const JobId& id) const;
+  bool Holds(const JobId& id, const QueueAddress& queue) const;
   /// Returns the queues of which the cell holds a job or a cancelled id, whether stored yet or not.
+  /// Some may have an unknown address.
   std::vector<QueueService> HeldQueues() const;
 
   /// Reports the load of each service of the cell, which decisions on machines are based on.
@@ -176,9 +182,14 @@
   static constexpr FenceToken kMaxIncarnationsPerTerm = 1ULL << 20U;
 
   struct JobEntry {
-    explicit JobEntry(Job new_job) : job(std::move(new_job)) {}
+    JobEntry(Job new_job, QueueAddress address)
+        : job(std::move(new_job)),
+          queue(std::move(address)),
+          estimate_key(queue.known() ? queue.ToString() : job.policy().name) {}
 
     Job job;
+    QueueAddress queue;
+    std::string estimate_key;  ///< Identifies the queue for estimates of run times.
     JobState stored_state =
         JobState::kQueued;   ///< Newest state that callers may see: final only when stored.
     bool accepted = false;   ///< The job is stored.
@@ -252,7 +263,8 @@
   void FlushDirty();
   void Refuse(CallNumber call, const JobId& id, std::string_view reason);
   void LogCancel(const JobId& id, std::string_view state, Instant now) const;
-  void CancelUnknown(CallNumber call, const JobId& id, const std::optional<QueueService>& queue,
+  bool IsHeldForOther(const JobId& id, const QueueAddress& queue) const;
+  void CancelUnknown(CallNumber call, const JobId& id, const std::optional<QueueService>& present,
                      CellTime time);
   void SubmitCancelled(CallNumber call, const JobId& id, CancelledIds::Entry* entry, CellTime time);
   BatchNumber StoreCancelledId(const JobId& id, const CancelledIds::Entry& entry);
@@ -268,7 +280,7 @@
   void HandleUnstorable(const StoreRecord& record);
   void RemoveStoredJob(const JobEntry& entry);
   void Commit(CellTime time);
-  void RecordArrival(const Job& job, Instant now);
+  void RecordArrival(const JobEntry& entry, Instant now);
   void ApplyDeferredUpdate(const DeferredUpdate& update, CellTime time);
   void RemoveExpiredJobs(CellTime time);
   void RestoreJob(const std::string& key, const std::string& value, CellTime time);
--- a/cells/cell_cancel.cc
+++ b/cells/cell_cancel.cc
@@ -9,11 +9,13 @@
 
 namespace wigeonlane {
 
-void Cell::Cancel(CallNumber call, const JobId& id, const std::optional<QueueService>& queue,
-                  CellTime time) {
+void Cell::Cancel(CallNumber call, const JobId& id, const QueueAddress& queue,
+                  const std::optional<QueueService>& present, CellTime time) {
+  // While the cell holds the id for another queue it accepts no submission of it for this one.
+  if (IsHeldForOther(id, queue)) return Respond(call, {VerdictOnUnknown(time.now)});
   JobEntry* entry = FindJob(id);
   LogCancel(id, entry == nullptr ? "unknown" : JobStateName(entry->job.state()), time.now);
-  if (entry == nullptr) return CancelUnknown(call, id, queue, time);
+  if (entry == nullptr) return CancelUnknown(call, id, present, time);
   if (IsFinal(entry->stored_state)) {
     return Respond(call, {CallVerdict::kCancelled, entry->stored_state});
   }
@@ -41,8 +43,8 @@
 
 /// Responds that the id is unknown once that is stored. The record is also the proof that this
 /// instance still owns the cell: a former owner may not know of jobs that its successor accepted.
-void Cell::CancelUnknown(CallNumber call, const JobId& id, const std::optional<QueueService>& queue,
-                         CellTime time) {
+void Cell::CancelUnknown(CallNumber call, const JobId& id,
+                         const std::optional<QueueService>& present, CellTime time) {
   if (CancelledIds::Entry* known = cancelled_ids_.Find(id)) {
     if (known->submission_stored) {
       return Respond(call, {CallVerdict::kCancelled, JobState::kCancelled});
@@ -51,7 +53,7 @@
     known->cancel_calls.push_back(call);
     return;
   }
-  if (!queue) return Respond(call, {VerdictOnUnknown(time.now)});
+  if (!present) return Respond(call, {VerdictOnUnknown(time.now)});
   if (commits_.StallDuration(time.now) > options_.commit_stall_timeout) {
     return Refuse(call, id, "store_stalled");
   }
@@ -60,7 +62,7 @@
     return Refuse(call, id, "too_many_cancelled_ids");
   }
   CancelledIds::Entry* added =
-      cancelled_ids_.Add(id, {*queue, false}, time.now + options_.finished_job_retention);
+      cancelled_ids_.Add(id, {*present, false}, time.now + options_.finished_job_retention);
   added->cancel_calls.push_back(call);
   added->cancel_batch = StoreCancelledId(id, *added);
 }
--- a/cells/cell_dispatcher.h
+++ b/cells/cell_dispatcher.h
@@ -33,7 +33,7 @@
     Host* host = cells_->Find(call.cell);
     if (host == nullptr || !host->active()) return respond({CallVerdict::kNotOwner});
     if (call.verb == CellVerb::kListQueues) return respond(ListQueues(call, *host));
-    if (call.routing && !host->cell()->Holds(call.job)) {
+    if (call.routing && !host->cell()->Holds(call.job, call.queue)) {
       const auto required = RequiredSurvey(*call.routing, *routes_, RoutesOf(*host));
       if (!required || call.routing->survey_version < *required) {
         CallResponse response{CallVerdict::kOutdated};
@@ -70,13 +70,13 @@
         if (!call.record) return respond({CallVerdict::kNotOwner});
         return host->Submit(call.job, *std::move(call.record), std::move(respond));
       case CellVerb::kCancel:
-        return host->Cancel(call.job,
+        return host->Cancel(call.job, call.queue,
                             call.routing ? std::optional(call.routing->assignment) : std::nullopt,
                             std::move(respond));
       case CellVerb::kShow:
-        return respond(host->Show(call.job));
+        return respond(host->Show(call.job, call.queue));
       case CellVerb::kCountPending:
-        return respond(host->CountPending(call.name));
+        return respond(host->CountPending(call.queue, call.name));
       case CellVerb::kReserveRunner:
         return respond(host->ReserveRunner(call.name));
       case CellVerb::kReserveForMove:
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -98,20 +98,20 @@
     SchedulePump();
   }
 
-  /// `queue` is as in `Cell::Cancel`.
-  void Cancel(const JobId& id, const std::optional<QueueService>& queue,
-              ResponseCallback on_response) {
+  /// `present` is as in `Cell::Cancel`.
+  void Cancel(const JobId& id, const QueueAddress& queue,
+              const std::optional<QueueService>& present, ResponseCallback on_response) {
     if (!active()) return on_response({CallVerdict::kNotOwner});
-    cell_->Cancel(NewCall(std::move(on_response)), id, queue, Time());
+    cell_->Cancel(NewCall(std::move(on_response)), id, queue, present, Time());
     SchedulePump();
   }
 
-  CallResponse Show(const JobId& id) const {
-    return active() ? cell_->Show(id, clock_->Now()) : CallResponse{CallVerdict::kNotOwner};
+  CallResponse Show(const JobId& id, const QueueAddress& queue) const {
+    return active() ? cell_->Show(id, clock_->Now(), queue) : CallResponse{CallVerdict::kNotOwner};
   }
 
-  CallResponse CountPending(const std::string& queue) const {
-    return active() ? cell_->CountPending(queue, clock_->Now())
+  CallResponse CountPending(const QueueAddress& queue, const std::string& name) const {
+    return active() ? cell_->CountPending(queue, name, clock_->Now())
                     : CallResponse{CallVerdict::kNotOwner};
   }
 
--- a/cells/cell_load.cc
+++ b/cells/cell_load.cc
@@ -167,7 +167,7 @@
     const std::string& service = entry.job.policy().service;
     const auto listed = capacities.find(service);
     const Resources capacity = listed == capacities.end() ? Resources{} : listed->second;
-    const double ratio = estimates_.Ratio(entry.job.policy().name);
+    const double ratio = estimates_.Ratio(entry.estimate_key);
     const bool late = entry.accepted_at + Objective(entry.job, ratio) <
                       time.now + RemainingCriticalPath(entry.job, ratio);
     const auto waiting = static_cast<double>(WaitingCoreMillis(entry.job, capacity, ratio));
--- a/cells/cell_messages.h
+++ b/cells/cell_messages.h
@@ -42,7 +42,8 @@
   CellVerb verb = CellVerb::kShow;
   CellNumber cell = 0;
   JobId job;
-  std::string name;                 ///< Queue whose jobs are counted, or the runner concerned.
+  QueueAddress queue;               ///< The queue of the job, or whose jobs are counted.
+  std::string name;                 ///< Name of that queue, or the runner concerned.
   std::optional<JobRecord> record;  ///< The job to submit.
   /// Set when the response decides whether the job is new, unknown or counted. Not set in a call to
   /// a cell that only holds earlier jobs of the queue.
@@ -50,7 +51,7 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(verb, cell, job, name, record, routing);
+    archive(verb, cell, job, queue, name, record, routing);
   }
 };
 
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -118,7 +118,7 @@
     runner->health.RecordSuccess();
     if (start_sent_at != Instant{}) {
       estimates_.Observe(
-          entry->job.policy().name, entry->job.spec().steps[result.task.step].estimate,
+          entry->estimate_key, entry->job.spec().steps[result.task.step].estimate,
           std::chrono::duration_cast<std::chrono::milliseconds>(time.now - start_sent_at));
     }
     // After a takeover, a later run of the task may already be running on another runner.
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -88,14 +88,15 @@
 
 void Cell::RestoreJob(const std::string& key, const std::string& value, CellTime time) {
   const auto id = JobId::Parse(key.substr(1));
-  auto record = Decode<JobRecord>(value);
+  auto record = DecodeJobRecord(value);
   if (!id || !record.ok()) {
     return LogUnreadable(number_, key,
                          record.ok() ? "invalid job id in the key" : MessageOf(record.status()));
   }
   const UnixTime accepted(record->accepted);
   auto entry = std::make_unique<JobEntry>(
-      Job(*id, std::move(record->spec), std::move(record->policy), accepted));
+      Job(*id, std::move(record->spec), std::move(record->policy), accepted),
+      std::move(record->queue));
   entry->accepted = true;
   entry->inherited = true;
   entry->accepted_at = time.now - std::max<Duration>(time.wall - accepted, Duration::zero());
@@ -119,7 +120,7 @@
 
 void Cell::RestoreCancelledId(const std::string& key, const std::string& value, CellTime time) {
   const auto id = JobId::Parse(key.substr(1));
-  const auto cancelled = Decode<CancelledId>(value);
+  const auto cancelled = DecodeCancelledId(value);
   if (!id || !cancelled.ok()) {
     return LogUnreadable(number_, key,
                          id ? MessageOf(cancelled.status()) : "invalid job id in the key");
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -56,7 +56,7 @@
     return waiting_.Remove(id);
   }
   const Job& job = entry->job;
-  const double ratio = estimates_.Ratio(job.policy().name);
+  const double ratio = estimates_.Ratio(entry->estimate_key);
   JobDemand demand;
   demand.priority = job.policy().priority;
   demand.long_running = job.spec().steps.front().long_running;
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -133,6 +133,7 @@
   kOutdated,      ///< Nothing was decided: the owner's or the sender's configuration is outdated.
   kQueues,        ///< `queues` is set.
   kTooLarge,      ///< The store cannot hold the job, so it is not accepted and never will be.
+  kIdInUse,       ///< Not accepted: the cell holds the id for another queue.
   kCancelledBeforeSubmit,  ///< Cancelled before a submission of the id arrived, so it never runs.
 };
 
@@ -173,7 +174,8 @@
 /// The queues whose jobs a cell holds, and its owner's configuration.
 struct CellQueues {
   std::uint64_t config_version = 0;
-  std::vector<QueueService> held;  ///< The service is the one that the queue had at that time.
+  /// The service is the one that the queue had when a job was accepted.
+  std::vector<QueueService> held;
   /// Services of all queues; left out if the sender has the same version.
   std::vector<QueueService> assigned;
 
--- a/cells/queue_survey.cc
+++ b/cells/queue_survey.cc
@@ -23,20 +23,20 @@
 
 std::optional<std::vector<std::string>> QueueSurvey::OtherServices(
     const QueueService& present) const {
-  std::vector<std::string> others;
   if (const auto assigned = assigned_services_.find(present.queue);
       assigned != assigned_services_.end()) {
     for (const std::string& service : assigned->second) {
       if (service != present.service) return {};
     }
   }
-  if (const auto holding = holding_services_.find(present.queue);
-      holding != holding_services_.end()) {
-    for (const std::string& service : holding->second) {
-      if (service != present.service) others.push_back(service);
-    }
+  std::set<std::string> holding;
+  for (const QueueAddress& queue : {present.queue, QueueAddress{}}) {
+    const auto found = holding_services_.find(queue);
+    if (found != holding_services_.end())
+      holding.insert(found->second.begin(), found->second.end());
   }
-  return others;
+  holding.erase(present.service);
+  return std::vector<std::string>(holding.begin(), holding.end());
 }
 
 }  // namespace wigeonlane
--- a/cells/queue_survey.h
+++ b/cells/queue_survey.h
@@ -55,8 +55,9 @@
  private:
   std::uint32_t cells_left_;
   std::uint64_t version_ = 0;
-  std::map<std::string, std::set<std::string>> holding_services_;   ///< By queue.
-  std::map<std::string, std::set<std::string>> assigned_services_;  ///< By queue.
+  /// By queue. Those of an unknown address may hold jobs of any queue.
+  std::map<QueueAddress, std::set<std::string>> holding_services_;
+  std::map<QueueAddress, std::set<std::string>> assigned_services_;  ///< By queue.
 };
 
 }  // namespace wigeonlane
--- a/cli/job_command.cc
+++ b/cli/job_command.cc
@@ -108,7 +108,7 @@
   if (prefix.size() < 2 || !prefix.starts_with('/') || !prefix.ends_with('/')) {
     return PrintUsageError(Concat("'", prefix, "' is not a queue's path; allowed: /NAME/"));
   }
-  JobClient client({context.callers, context.host, prefix}, context.timeout);
+  JobClient client(context.callers, {context.host, prefix}, context.timeout);
   if (pending) return PrintPending(&client);
   const auto job = JobId::Parse(words[3]);
   if (!job) {
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -16,6 +16,7 @@
 #include "absl/status/statusor.h"
 #include "core/clock.h"
 #include "jobs/job.h"
+#include "jobs/queue_address.h"
 
 namespace wigeonlane {
 
@@ -210,15 +211,20 @@
 /// Stored form of an accepted job.
 struct JobRecord {
   JobSpec spec;
-  QueuePolicy policy;
+  QueuePolicy policy;                     ///< Of the queue when the job was accepted.
   std::chrono::milliseconds accepted{0};  ///< Since 1970.
+  QueueAddress queue;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(spec, policy, accepted);
+    archive(spec, policy, accepted, queue);
   }
 };
 
+/// Decodes a stored job of this version or an earlier one, which stored no address. Errors:
+/// InvalidArgument.
+absl::StatusOr<JobRecord> DecodeJobRecord(std::string_view bytes);
+
 }  // namespace wigeonlane
 
 #endif  // WIGEONLANE_JOBS_JOB_PROGRESS_H_
--- /dev/null
+++ b/jobs/queue_address.h
@@ -0,0 +1,40 @@
+/// The address of a queue, which identifies it: callers know a queue by nothing else.
+#ifndef WIGEONLANE_JOBS_QUEUE_ADDRESS_H_
+#define WIGEONLANE_JOBS_QUEUE_ADDRESS_H_
+
+#include <compare>
+#include <string>
+#include <string_view>
+
+namespace wigeonlane {
+
+/// Returns the form in which host names are compared: lower case, without port and trailing dot.
+std::string CanonicalHost(std::string_view host);
+
+/// Host and path under which callers reach a queue. Its name, policy and service may change.
+struct QueueAddress {
+  std::string host;  ///< As `CanonicalHost` returns it.
+  std::string
+      path_prefix;  ///< What precedes a job's id in a path; empty if the address is unknown.
+
+  auto operator<=>(const QueueAddress&) const = default;
+
+  /// Jobs that were stored by versions before issue 43 have no address.
+  bool known() const { return !path_prefix.empty(); }
+
+  /// Whether this and `other` may be the address of the same queue.
+  bool MayBe(const QueueAddress& other) const {
+    return !known() || !other.known() || *this == other;
+  }
+
+  std::string ToString() const { return host + path_prefix; }
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(host, path_prefix);
+  }
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_JOBS_QUEUE_ADDRESS_H_
--- a/jobs/route_table.h
+++ b/jobs/route_table.h
@@ -11,13 +11,13 @@
 #include <vector>
 
 #include "jobs/job.h"
+#include "jobs/queue_address.h"
 
 namespace wigeonlane {
 
-/// The address and the policy of one queue.
+/// The address and the present policy of one queue.
 struct QueueRoute {
-  std::string host;         ///< Lower case, without port.
-  std::string path_prefix;  ///< Ends with a slash.
+  QueueAddress address;
   QueuePolicy policy;
 };
 
@@ -30,7 +30,7 @@
 /// A queue and a service whose runners execute its jobs. Another version of the configuration may
 /// name another service for the queue.
 struct QueueService {
-  std::string queue;
+  QueueAddress queue;
   std::string service;
 
   auto operator<=>(const QueueService&) const = default;
--- a/jobs/stored_progress.cc
+++ b/jobs/stored_progress.cc
@@ -103,6 +103,18 @@
   }
 };
 
+/// The form of a job that versions before issue 43 stored.
+struct UnaddressedJobRecord {
+  JobSpec spec;
+  QueuePolicy policy;
+  std::chrono::milliseconds accepted{0};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(spec, policy, accepted);
+  }
+};
+
 bool HasAttempts(const TaskState& task) {
   return !task.failed_runs.empty() || task.last_run != 0 || !task.checkpoint.empty();
 }
@@ -120,6 +132,15 @@
 
 }  // namespace
 
+absl::StatusOr<JobRecord> DecodeJobRecord(std::string_view bytes) {
+  auto record = Decode<JobRecord>(bytes);
+  if (record.ok()) return record;
+  auto unaddressed = Decode<UnaddressedJobRecord>(bytes);
+  if (!unaddressed.ok()) return record.status();
+  return JobRecord{
+      std::move(unaddressed->spec), std::move(unaddressed->policy), unaddressed->accepted, {}};
+}
+
 std::string Job::SliceId::ToSuffix() const { return Concat(".", occurrence, ".", number); }
 
 std::optional<Job::SliceId> Job::SliceId::Parse(std::string_view suffix) {
--- a/tests/cells/cell_cancel_test.cc
+++ b/tests/cells/cell_cancel_test.cc
@@ -14,6 +14,7 @@
 const Resources kCapacity{8'000, 16'000, 0};
 constexpr CallNumber kCancel = 7;
 constexpr std::string_view kId = "00000000000000a1";
+const QueueAddress kQueue{"h", "/queue/"};
 
 class CellCancelTest : protected ScriptedCell {
  protected:
@@ -23,7 +24,7 @@
   }
 
   void Cancel(CallNumber call = kCancel) {
-    cell_->Cancel(call, id_, QueueService{"queue", std::string(kService)}, Time());
+    cell_->Cancel(call, id_, kQueue, QueueService{kQueue, std::string(kService)}, Time());
     AdvanceTime(milliseconds(100));
   }
 
@@ -91,7 +92,7 @@
 TEST_CASE_METHOD(CellCancelTest, "Show_CancelledIdWithoutASubmission_ShowsNoJob") {
   Cancel();
   CHECK(Show().verdict == CallVerdict::kCancelledBeforeSubmit);
-  CHECK_FALSE(cell_->Holds(id_));
+  CHECK_FALSE(cell_->Holds(id_, kQueue));
 }
 
 // A queue that moves leaves its cancelled ids behind, so the survey must find them.
@@ -99,7 +100,7 @@
   CHECK(cell_->HeldQueues().empty());
   Cancel();
   REQUIRE(cell_->HeldQueues().size() == 1);
-  CHECK(cell_->HeldQueues().front() == QueueService{"queue", std::string(kService)});
+  CHECK(cell_->HeldQueues().front() == QueueService{kQueue, std::string(kService)});
 }
 
 // The cancellation may still be refused, so nothing may be concluded from it yet.
@@ -145,7 +146,7 @@
   void CancelNumber(CallNumber call) {
     std::string digits(JobId::kLength, '0');
     digits.back() = static_cast<char>('0' + call);
-    cell_->Cancel(call, *JobId::Parse(digits), QueueService{"queue", std::string(kService)},
+    cell_->Cancel(call, *JobId::Parse(digits), kQueue, QueueService{kQueue, std::string(kService)},
                   Time());
     AdvanceTime(milliseconds(100));
   }
@@ -190,7 +191,7 @@
   store_answers_ = false;
   StepSpec step;
   step.need = {1'000, 1'000, 0};
-  cell_->Submit(2, *JobId::Parse("00000000000000f0"), JobRecord{{"", {step}}, {}, {}}, Time());
+  cell_->Submit(2, *JobId::Parse("00000000000000f0"), JobRecord{{"", {step}}, {}, {}, {}}, Time());
   AdvanceTime(milliseconds(50));
   SubmitLate();
   AdvanceTime(CellOptions().commit_stall_timeout);
--- a/tests/cells/cell_earmark_test.cc
+++ b/tests/cells/cell_earmark_test.cc
@@ -91,7 +91,7 @@
 TEST_CASE_METHOD(CellEarmarkTest, "Schedule_LongRunningJobIsCancelled_ItsEarmarkEnds") {
   FillRunners();
   SubmitLongRunning(1);
-  cell_->Cancel(9, *JobId::Parse(kLongRunningJob), {}, Time());
+  cell_->Cancel(9, *JobId::Parse(kLongRunningJob), {}, {}, Time());
   AdvanceTime(milliseconds(2'500));
   const std::size_t earlier_starts = starts_.size();
   EndShortTasks(4);
--- a/tests/cells/cell_former_owner_test.cc
+++ b/tests/cells/cell_former_owner_test.cc
@@ -27,7 +27,7 @@
   }
 
   CallVerdict CancelInFormerService() {
-    cell_->Cancel(kCancel, id_, {}, Time());
+    cell_->Cancel(kCancel, id_, {}, {}, Time());
     AdvanceTime(milliseconds(5));
     return responses_.at(kCancel).verdict;
   }
@@ -48,9 +48,9 @@
 }
 
 TEST_CASE_METHOD(CellFormerOwnerTest, "CountPending_AuthorityHasEnded_IsNotAnswered") {
-  CHECK(cell_->CountPending("queue", now_).verdict == CallVerdict::kCounted);
+  CHECK(cell_->CountPending({"h", "/queue/"}, "queue", now_).verdict == CallVerdict::kCounted);
   LoseStoreFor(CellOptions().authority);
-  CHECK(cell_->CountPending("queue", now_).verdict == CallVerdict::kRefused);
+  CHECK(cell_->CountPending({"h", "/queue/"}, "queue", now_).verdict == CallVerdict::kRefused);
 }
 
 // Guards against AVAIL: a machine goes down under a long-running task that the successor started.
--- a/tests/cells/cell_refusal_test.cc
+++ b/tests/cells/cell_refusal_test.cc
@@ -98,7 +98,7 @@
 TEST_CASE_METHOD(CellRefusalTest, "Cancel_JobIsRefused_IsRefusedAsWell") {
   Submit(kFirst, sent_);
   Submit(kSecond, unsent_);
-  cell_.Cancel(kThird, unsent_, QueueService{"queue", "press"}, Time());
+  cell_.Cancel(kThird, unsent_, {}, QueueService{{"h", "/queue/"}, "press"}, Time());
   AdvanceTime(CellOptions().commit_stall_timeout);
   CHECK(responses_[kSecond].verdict == CallVerdict::kRefused);
   CHECK(responses_[kThird].verdict == CallVerdict::kRefused);
--- a/tests/cells/cell_reservation_test.cc
+++ b/tests/cells/cell_reservation_test.cc
@@ -64,7 +64,7 @@
 }
 
 TEST_CASE_METHOD(CellReservationTest, "ReserveForMove_LongRunningTaskIsCancelled_IsReady") {
-  cell_->Cancel(9, *JobId::Parse("00000000000000a1"), {}, Time());
+  cell_->Cancel(9, *JobId::Parse("00000000000000a1"), {}, {}, Time());
   AdvanceTime(milliseconds(100));
   CHECK(cell_->ReserveForMove(RunnerName(0), Time()).verdict == CallVerdict::kReady);
 }
--- a/tests/cells/cell_result_durability_test.cc
+++ b/tests/cells/cell_result_durability_test.cc
@@ -171,7 +171,7 @@
                  "Result_OfJobWhoseCancelIsInFlight_IsAcknowledgedOnceStored") {
   StartGang();
   store_answers_ = false;
-  cell_->Cancel(2, *JobId::Parse(kJob), {}, Time());
+  cell_->Cancel(2, *JobId::Parse(kJob), {}, {}, Time());
   AdvanceTime(milliseconds(50));
   EndOldest(RunnerName(1), RunResult::kStopped);
   AdvanceTime(kSettled);
--- a/tests/cells/cell_store_limits_test.cc
+++ b/tests/cells/cell_store_limits_test.cc
@@ -135,7 +135,7 @@
   const Outbox outbox = cell_->TakeOutbox();
   REQUIRE(outbox.responses.size() == 1);
   CHECK(outbox.responses[0].response.verdict == CallVerdict::kTooLarge);
-  CHECK_FALSE(cell_->Holds(*JobId::Parse(kSmallJob)));
+  CHECK_FALSE(cell_->Holds(*JobId::Parse(kSmallJob), {}));
 }
 
 // A runner that an earlier version listed in a single record must be reconciled, and the record
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -21,7 +21,7 @@
 constexpr TermToken kTokenStep = 8;
 constexpr milliseconds kReleaseTime{800};
 constexpr std::string_view kService = "press";
-constexpr std::string_view kQueue = "queue";
+const QueueAddress kQueue{"h", "/queue/"};
 /// Lower than those of the platform, so that batches of a few jobs exceed a call.
 constexpr StoreLimits kStoreLimits{800, 1'000};
 
@@ -439,7 +439,7 @@
   Submitted job{*JobId::Parse(digits), {}};
   job.record.spec = std::move(spec);
   job.record.spec.payload = std::to_string(outcome_seed) + (outcome_seed < 16 ? "hopeless" : "");
-  job.record.policy.name = kQueue;
+  job.record.queue = kQueue;
   job.record.policy.service = kService;
   job.record.policy.max_attempts = 2;
   job.record.policy.stretch = 1.6;
@@ -459,7 +459,7 @@
   OnServingOwner(owner, [this, id](Owner* serving) {
     oracle_.CancelSent(id);
     serving->cancels[++last_call_] = id;
-    serving->cell->Cancel(last_call_, id, QueueService{std::string(kQueue), std::string(kService)},
+    serving->cell->Cancel(last_call_, id, kQueue, QueueService{kQueue, std::string(kService)},
                           Time());
   });
 }
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -187,7 +187,7 @@
   Store store_;
   std::vector<SimRunner> runners_;
   SimGangs gangs_;
-  bool has_gangs_ = false;  ///< A job with a gang was submitted.
+  bool has_gangs_ = false;                             ///< A job with a gang was submitted.
   std::map<std::string, OneSidedCut> one_sided_cuts_;  ///< By runner id.
   JobOracle oracle_;
   std::vector<Submitted> submitted_;
--- a/tests/cells/fake_cell_host.h
+++ b/tests/cells/fake_cell_host.h
@@ -34,7 +34,10 @@
     std::map<JobId, QueueService> jobs;  ///< As read at the takeover, and accepted since.
     std::map<JobId, QueueService> cancelled_ids;
 
-    bool Holds(const JobId& id) const { return jobs.contains(id); }
+    bool Holds(const JobId& id, const QueueAddress& queue) const {
+      const auto job = jobs.find(id);
+      return job != jobs.end() && job->second.queue.MayBe(queue);
+    }
     std::vector<QueueService> HeldQueues() const {
       std::set<QueueService> queues;
       for (const auto& [id, queue] : jobs) queues.insert(queue);
@@ -59,29 +62,32 @@
   std::optional<std::uint64_t> routes_at_takeover() const { return routes_at_takeover_; }
 
   void Submit(const JobId& id, JobRecord&& record, const Respond& respond) {
-    if (cell_.Holds(id) || cell_.cancelled_ids.contains(id)) {
+    if (cell_.Holds(id, record.queue) || cell_.cancelled_ids.contains(id)) {
       return respond({CallVerdict::kAccepted});
     }
+    if (cell_.jobs.contains(id)) return respond({CallVerdict::kIdInUse});
     if (partition_->epoch != token_) return respond({CallVerdict::kUnknown});
-    cell_.jobs[id] = partition_->jobs[id] = {record.policy.name, record.policy.service};
+    cell_.jobs[id] = partition_->jobs[id] = {record.queue, record.policy.service};
     respond({CallVerdict::kAccepted});
   }
 
-  void Cancel(const JobId& id, const std::optional<QueueService>& queue, const Respond& respond) {
-    if (cell_.Holds(id)) return respond({CallVerdict::kCancelled});
+  void Cancel(const JobId& id, const QueueAddress& queue,
+              const std::optional<QueueService>& present, const Respond& respond) {
+    if (cell_.Holds(id, queue)) return respond({CallVerdict::kCancelled});
+    if (cell_.jobs.contains(id)) return respond({CallVerdict::kNotFound});
     if (partition_->epoch != token_) return respond({CallVerdict::kUnknown});
-    if (queue) cell_.cancelled_ids[id] = partition_->cancelled_ids[id] = *queue;
+    if (present) cell_.cancelled_ids[id] = partition_->cancelled_ids[id] = *present;
     respond({CallVerdict::kNotFound});
   }
 
-  CallResponse Show(const JobId& id) const {
+  CallResponse Show(const JobId& id, const QueueAddress& queue) const {
     if (cell_.cancelled_ids.contains(id)) return {CallVerdict::kCancelledBeforeSubmit};
-    return {cell_.Holds(id) ? CallVerdict::kShown : CallVerdict::kNotFound};
+    return {cell_.Holds(id, queue) ? CallVerdict::kShown : CallVerdict::kNotFound};
   }
 
-  CallResponse CountPending(const std::string& queue) const {
+  CallResponse CountPending(const QueueAddress& queue, const std::string&) const {
     CallResponse response{CallVerdict::kCounted};
-    for (const auto& [id, held] : cell_.jobs) response.pending += held.queue == queue ? 1 : 0;
+    for (const auto& [id, held] : cell_.jobs) response.pending += held.queue.MayBe(queue) ? 1 : 0;
     return response;
   }
 
--- a/tests/cells/queue_survey_fuzz_test.cc
+++ b/tests/cells/queue_survey_fuzz_test.cc
@@ -1,5 +1,6 @@
-/// Stateful fuzzing of the decision whether an id is new: a queue moves between services while
-/// instances read versions late or skip them, cells change owners and requests are repeated.
+/// Stateful fuzzing of the decision whether an id is new: a queue moves between services and is
+/// renamed while instances read versions late or skip them, cells change owners and requests are
+/// repeated.
 #include <asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <memory>
@@ -20,6 +21,7 @@
 constexpr std::size_t kInstances = 3;
 constexpr CellNumber kCells = 2;  ///< Cell n belongs to service n.
 constexpr std::size_t kJobs = 1;
+const QueueAddress kQueue{"h", "/q/"};
 
 class RoutingWorld {
  public:
@@ -42,8 +44,8 @@
     if (reader.routes.version() == services_.size()) return;
     std::vector<QueueRoute> routes;
     if (services_.back() < kCells) {
-      QueueRoute route{"h", "/q/", {}};
-      route.policy.name = "q";
+      QueueRoute route{kQueue, {}};
+      route.policy.name = std::to_string(services_.size());
       route.policy.service = std::to_string(services_.back());
       routes.push_back(route);
     }
@@ -113,6 +115,7 @@
     PendingRequest& request = requests_[index];
     CellCall call;
     call.job = IdOf(request.job);
+    call.queue = kQueue;
     if (!request.others.empty()) {
       call.verb = CellVerb::kShow;
       call.cell = CellOf(request.others.back());
@@ -123,7 +126,7 @@
       call.cell = CellOf(request.claim.assignment.service);
       call.routing = request.claim;
       call.record = JobRecord();
-      call.record->policy.name = "q";
+      call.record->queue = kQueue;
       call.record->policy.service = request.claim.assignment.service;
       Call(HostOf(call.cell, owner), call);
       Check(call.job);
@@ -160,6 +163,7 @@
     if (!others) return;
     CellCall call;
     call.job = IdOf(job % kJobs);
+    call.queue = kQueue;
     call.cell = CellOf(present->service);
     call.routing = {*present, receiver.routes.version(), receiver.survey->version()};
     // A former owner that has not noticed its loss is outside of this property.
@@ -186,7 +190,7 @@
 
     std::optional<QueueService> Present() const {
       if (routes.routes().empty()) return {};
-      return QueueService{"q", routes.routes().front().policy.service};
+      return QueueService{kQueue, routes.routes().front().policy.service};
     }
 
     RouteTable routes;
--- a/tests/platform/caller_api_test.cc
+++ b/tests/platform/caller_api_test.cc
@@ -1,4 +1,4 @@
-/// Requests for a queue that another version of the configuration assigned to another service.
+/// Requests for a queue to which another version of the configuration gave another service or name.
 #include "platform/caller_api.h"
 
 #include <asio/io_context.hpp>
@@ -47,12 +47,15 @@
               {kCells, [](TermToken) {}, [] { return milliseconds(0); }}),
           dispatcher(&hosts, &routes) {}
 
-    void Read(std::uint64_t version, const std::string& service) {
-      QueueRoute route{"h", "/q/", {}};
-      route.policy.name = "q";
-      route.policy.service = service;
-      routes.Assign(version,
-                    service.empty() ? std::vector<QueueRoute>() : std::vector<QueueRoute>{route});
+    /// Reads a version in which the queue at /q/ has this service; in which it is absent if
+    /// `service` is empty.
+    void Read(std::uint64_t version, const std::string& service, const std::string& name = "q") {
+      ReadAll(version, service.empty() ? std::vector<QueueRoute>()
+                                       : std::vector<QueueRoute>{RouteOf("/q/", service, name)});
+    }
+
+    void ReadAll(std::uint64_t version, std::vector<QueueRoute> all) {
+      routes.Assign(version, std::move(all));
       dispatcher.ConfirmRoutes(version);
     }
 
@@ -71,6 +74,14 @@
     owner_ = Start();
   }
 
+  static QueueRoute RouteOf(const std::string& path, const std::string& service,
+                            const std::string& name, const std::string& host = "h") {
+    QueueRoute route{{host, path}, {}};
+    route.policy.name = name;
+    route.policy.service = service;
+    return route;
+  }
+
   std::unique_ptr<Instance> Start() { return std::make_unique<Instance>(this); }
 
   /// `owner_` takes over all cells by the configuration that it has read.
@@ -82,11 +93,12 @@
   }
 
   /// Returns the status code and sets `body_`.
-  int Ask(Instance* instance, const std::string& method, const std::string& id) {
+  int Ask(Instance* instance, const std::string& method, const std::string& id,
+          const std::string& path = "/q/") {
     JobSpec spec;
     spec.steps.resize(1);
     std::optional<int> code;
-    instance->api.Serve({method, "/q/" + id, "h", {}, EncodeJob(spec)},
+    instance->api.Serve({method, path + id, "h", {}, EncodeJob(spec)},
                         [&](const HttpResponse& response) {
                           code = response.code;
                           body_ = response.body;
@@ -236,5 +248,137 @@
   CHECK(Ask(outdated_.get(), "POST", "00000000000000a3") == http_status::kOk);
 }
 
+/// A queue got another name and another service under the same address, and all instances started
+/// anew.
+class RenamedQueueTest : protected CallerApiTest {
+ protected:
+  RenamedQueueTest() {
+    owner_->Read(1, "s0");
+    TakeOver();
+    REQUIRE(Ask("POST") == http_status::kOk);
+  }
+
+  /// All instances start anew, by this configuration.
+  void StartWith(std::uint64_t version, const std::vector<QueueRoute>& routes) {
+    owner_ = Start();
+    owner_->ReadAll(version, routes);
+    TakeOver();
+  }
+
+  int AskAt(const std::string& path, const std::string& method, std::string_view id = kId) {
+    return Ask(owner_.get(), method, std::string(id), path);
+  }
+};
+
+// Guards against LOST and TWICE (review/10): a job is looked for by the name of its queue, which
+// callers never see, so a renamed queue does not know the jobs that were accepted at its address.
+TEST_CASE_METHOD(RenamedQueueTest, "Request_QueueRenamedAndMoved_FindsTheJob") {
+  StartWith(3, {RouteOf("/q/", "s1", "renamed")});
+  CHECK(Ask("GET") == http_status::kOk);
+  CHECK(Ask("POST") == http_status::kOk);
+  CHECK(StoredJobs() == 1);
+  REQUIRE(Ask("GET", "") == http_status::kOk);
+  CHECK(DecodePending(body_).value() == 1);
+  CHECK(Ask("DELETE") == http_status::kOk);
+}
+
+TEST_CASE_METHOD(RenamedQueueTest, "Request_QueueRenamedAndMovedWhileInstancesRun_FindsTheJob") {
+  owner_->Read(2, "s1", "renamed");
+  CHECK(Ask("GET") == http_status::kOk);
+  CHECK(Ask("POST") == http_status::kOk);
+  CHECK(StoredJobs() == 1);
+}
+
+TEST_CASE_METHOD(RenamedQueueTest, "Request_NameAndServiceChangeInTurns_FindsTheJob") {
+  std::uint64_t version = 1;
+  for (const auto& [service, name] :
+       {std::pair("s0", "a"), std::pair("s1", "a"), std::pair("s1", "b"), std::pair("s2", "q")}) {
+    StartWith(++version, {RouteOf("/q/", service, name)});
+    CHECK(Ask("GET") == http_status::kOk);
+    CHECK(Ask("POST") == http_status::kOk);
+    REQUIRE(Ask("GET", "") == http_status::kOk);
+    CHECK(DecodePending(body_).value() == 1);
+  }
+  CHECK(StoredJobs() == 1);
+}
+
+// Each queue has the name and the service that the other one had.
+TEST_CASE_METHOD(RenamedQueueTest, "Request_TwoQueuesAreSwapped_EachFindsItsOwnJobs") {
+  constexpr std::string_view kOtherId = "00000000000000b1";
+  owner_->ReadAll(2, {RouteOf("/q/", "s0", "q"), RouteOf("/p/", "s1", "p")});
+  REQUIRE(AskAt("/p/", "POST", kOtherId) == http_status::kOk);
+  StartWith(3, {RouteOf("/q/", "s1", "p"), RouteOf("/p/", "s0", "q")});
+  CHECK(AskAt("/q/", "GET") == http_status::kOk);
+  CHECK(AskAt("/p/", "GET", kOtherId) == http_status::kOk);
+  CHECK(AskAt("/q/", "POST") == http_status::kOk);
+  CHECK(AskAt("/p/", "POST", kOtherId) == http_status::kOk);
+  CHECK(StoredJobs() == 2);
+  CHECK(AskAt("/q/", "GET", kOtherId) == http_status::kGone);
+  CHECK(AskAt("/p/", "GET") == http_status::kGone);
+  for (const char* path : {"/q/", "/p/"}) {
+    REQUIRE(AskAt(path, "GET", "") == http_status::kOk);
+    CHECK(DecodePending(body_).value() == 1);
+  }
+}
+
+TEST_CASE_METHOD(RenamedQueueTest, "Request_QueueIsAbsentAndComesBackRenamed_FindsTheJob") {
+  StartWith(2, {});
+  CHECK(Ask("GET") == http_status::kNotFound);
+  StartWith(3, {RouteOf("/q/", "s2", "renamed")});
+  CHECK(Ask("GET") == http_status::kOk);
+  CHECK(Ask("POST") == http_status::kOk);
+  CHECK(StoredJobs() == 1);
+}
+
+TEST_CASE_METHOD(RenamedQueueTest, "Request_HostIsSpelledDifferently_FindsTheJob") {
+  StartWith(2, {RouteOf("/q/", "s1", "renamed", "H.:8080")});
+  CHECK(Ask("GET") == http_status::kOk);
+}
+
+// Guards against UNASKED: the cancel was acknowledged under the former name.
+TEST_CASE_METHOD(RenamedQueueTest, "Post_CancelledBeforeTheQueueWasRenamedAndMoved_MakesNoJob") {
+  constexpr std::string_view kLateId = "00000000000000a7";
+  REQUIRE(Ask("DELETE", kLateId) == http_status::kGone);
+  StartWith(3, {RouteOf("/q/", "s1", "renamed")});
+  CHECK(Ask("POST", kLateId) == http_status::kOk);
+  CHECK(StoredJobs() == 1);
+}
+
+// Another queue of the same service may have the same id, which its callers chose.
+TEST_CASE_METHOD(RenamedQueueTest, "Request_IdIsInUseAtAnotherQueue_LeavesThatJobAlone") {
+  owner_->ReadAll(2, {RouteOf("/q/", "s0", "q"), RouteOf("/p/", "s0", "p")});
+  CHECK(AskAt("/p/", "GET") == http_status::kGone);
+  CHECK(AskAt("/p/", "DELETE") == http_status::kGone);
+  CHECK(AskAt("/p/", "POST") == http_status::kConflict);
+  CHECK(AskAt("/q/", "GET") == http_status::kOk);
+  CHECK(StoredJobs() == 1);
+}
+
+/// The store holds a job that a version before issue 43 accepted, without the address of its queue.
+class UnaddressedJobTest : protected RenamedQueueTest {
+ protected:
+  UnaddressedJobTest() {
+    for (auto& [cell, partition] : partitions_) {
+      for (auto& [id, queue] : partition.jobs) queue.queue = {};
+    }
+  }
+};
+
+TEST_CASE_METHOD(UnaddressedJobTest, "Request_QueueOfUnaddressedJobRenamedAndMoved_FindsTheJob") {
+  StartWith(3, {RouteOf("/q/", "s1", "renamed")});
+  CHECK(Ask("GET") == http_status::kOk);
+  CHECK(Ask("POST") == http_status::kOk);
+  CHECK(StoredJobs() == 1);
+  CHECK(Ask("DELETE") == http_status::kOk);
+}
+
+TEST_CASE_METHOD(UnaddressedJobTest, "Request_OwnerThatMayHoldTheJobIsMissing_IsRefusedForNow") {
+  StartWith(3, {RouteOf("/q/", "s1", "renamed")});
+  owners_missing_ = {0};
+  CHECK(Ask("GET") == http_status::kUnavailable);
+  CHECK(Ask("POST") == http_status::kUnavailable);
+  CHECK(StoredJobs() == 1);
+}
+
 }  // namespace
 }  // namespace wigeonlane
