--- a/cells/cell.h
+++ b/cells/cell.h
@@ -36,6 +36,7 @@
 #include "scheduling/arrival_meter.h"
 #include "scheduling/estimate_model.h"
 #include "scheduling/job_ranking.h"
+#include "scheduling/placement.h"
 #include "scheduling/rejected_sizes.h"
 #include "scheduling/step_admission.h"
 #include "scheduling/waiting_jobs.h"
@@ -205,9 +206,18 @@
     std::map<std::pair<std::uint32_t, std::uint32_t>, StepAdmission> admissions;
   };
 
+  /// The runner that was chosen for a task, or why there is none.
+  struct RunnerChoice {
+    Runner* runner = nullptr;
+    NoRunnerReason reason = NoRunnerReason::kNoCapacity;  ///< Unused if there is a runner.
+  };
+
   /// Whether only one task stops, or all tasks of its runner.
   enum class StopScope : std::uint8_t { kOneTask, kWholeRunner };
 
+  /// Whether capacity is reserved elsewhere for the long-running tasks that have to leave a runner.
+  enum class EvacuationState : std::uint8_t { kReserved, kAwaitsAdvice, kImpossible };
+
   /// The kind of task that prevents the machine of a runner from going down.
   enum class Blocker : std::uint8_t { kNothing, kShortTask, kLongRunningTask };
 
@@ -329,21 +339,22 @@
   bool MayStop(const Runner& runner, const TaskId& id, StopScope scope, Instant now);
   bool IsConfirmedRunning(const TaskId& id, const TaskState& task, Instant now);
   Blocker BlockerOf(const Runner& runner, Instant now);
-  bool PrepareEvacuation(Runner* runner, Instant now);
+  EvacuationState PrepareEvacuation(Runner* runner, Instant now);
   bool HasLongRunningWork(const Runner& runner);
   bool CouldRunUnavailableTask(const Runner& runner, Instant now);
   CallResponse CancelReservation(Runner* runner, Instant now);
   void Evacuate(Runner* runner, Instant now);
   Instant ReleaseResolvedAt(Instant now) const;
-  bool ReserveCapacityForEvacuation(const Runner& runner, Instant now);
-  bool ReserveCapacityForStep(const Runner& runner, std::vector<TaskId> tasks, Instant now);
-  bool ReserveCapacity(const JobEntry& entry, const TaskId& id, const Runner& origin, Instant now);
+  EvacuationState ReserveCapacityForEvacuation(const Runner& runner, Instant now);
+  EvacuationState ReserveCapacityForStep(const Runner& runner, std::vector<TaskId> tasks,
+                                         Instant now);
+  bool ReserveCapacity(JobEntry* entry, const TaskId& id, const Runner& origin, Instant now);
   void AddCapacityReservation(const TaskId& id, const Resources& load, const Runner& origin,
                               Runner* holder, Instant now);
   bool MoveCapacityReservationsFrom(const Runner& holder, Instant now);
   Runner* TakeOverReservedCapacity(const JobEntry& entry, const TaskId& id, Instant now);
-  Runner* ChooseEvacuationTarget(const JobEntry& entry, const TaskId& id,
-                                 const std::set<RunnerKey>& excluded, Instant now);
+  RunnerChoice ChooseEvacuationTarget(const JobEntry& entry, const TaskId& id,
+                                      const std::set<RunnerKey>& excluded, Instant now);
   bool IsMoving(const TaskId& id, const CapacityReservation& reservation);
   bool IsReservationValid(const TaskId& id, const CapacityReservation& reservation, Instant now);
   void DropCapacityReservation(const TaskId& id);
@@ -361,13 +372,15 @@
   void PlaceStep(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time);
   void PlaceGang(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time);
   bool LacksCapacityFor(const JobEntry& entry, const StepSpec& step) const;
-  Runner* ChooseRunner(const JobEntry& entry, const TaskId& id, const std::string& rack,
-                       Instant now);
+  RunnerChoice ChooseRunner(const JobEntry& entry, const TaskId& id, const std::string& rack,
+                            Instant now);
   std::string RackOfStep(const JobEntry& entry, std::uint32_t occurrence, std::uint32_t step);
   std::uint32_t RunsOfStep(const Runner& runner, const TaskId& task) const;
   std::uint32_t ReservationsOfStep(const Runner& runner, const TaskId& task) const;
   double CostOf(const JobEntry& entry, const Runner& runner, const TaskId& id,
                 const std::string& rack) const;
+  std::optional<NoRunnerReason> FindObstacle(const JobEntry& entry, const Runner& runner,
+                                             const TaskId& id, Instant now) const;
   bool MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id, Instant now) const;
   void EarmarkCapacity(const JobEntry& entry, const TaskId& id, Instant now);
 
@@ -382,7 +395,12 @@
   RunNumber NextRun(const JobEntry& entry, RunNumber last) const;
 
   static const StepAdmission* FindAdmission(const JobEntry& entry, const TaskId& task);
-  void RequestAdvice(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, Instant now);
+  void RequestAdvice(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step,
+                     NoRunnerReason reason, Instant now);
+  static bool AwaitsAdvice(const JobEntry& entry, const TaskId& task);
+  std::uint32_t& PendingAdviceRequests(bool long_running) {
+    return long_running ? pending_long_running_advice_requests_ : pending_advice_requests_;
+  }
 
   const CellNumber number_;
   const TermToken token_;
@@ -438,7 +456,9 @@
   /// When placement is tried again for tasks that fit nowhere. Reservations, restart delays and
   /// tickets expire without an event, and an idle cell gets no events.
   Instant reschedule_at_ = Instant::max();
-  std::uint32_t pending_advice_requests_ = 0;  ///< Requests to the advisor without a response yet.
+  /// Requests to the advisor without a response yet, for short steps and for long-running ones.
+  std::uint32_t pending_advice_requests_ = 0;
+  std::uint32_t pending_long_running_advice_requests_ = 0;
 
   EstimateModel estimates_;
   std::map<std::string, ArrivalMeter> arrivals_;  ///< By service.
--- a/cells/cell_admission.cc
+++ b/cells/cell_admission.cc
@@ -14,6 +14,11 @@
 /// Pending advice requests of one cell. The advisor rejects more than 32 of one instance, which may
 /// own all eight cells.
 constexpr std::uint32_t kMaxPendingRequests = 4;
+/// Of these, requests for long-running steps. Such a step may wait for minutes, and short steps
+/// must not wait behind its requests.
+constexpr std::uint32_t kMaxPendingLongRunningRequests = 1;
+constexpr std::uint32_t kMaxPendingShortRequests =
+    kMaxPendingRequests - kMaxPendingLongRunningRequests;
 /// Delay after an advice request without a response.
 constexpr std::chrono::milliseconds kRetryDelay{300};
 
@@ -24,14 +29,25 @@
   return found == entry.admissions.end() ? nullptr : &found->second;
 }
 
-/// Requests tickets for runners that have none; runners with free capacity come first.
+/// Whether a request to the advisor about the task's step has no response yet.
+bool Cell::AwaitsAdvice(const JobEntry& entry, const TaskId& task) {
+  const StepAdmission* admission = FindAdmission(entry, task);
+  return admission != nullptr && admission->request_pending();
+}
+
+/// Requests tickets for runners that have none, if that may help a task of the step which found no
+/// runner for `reason`. Runners with free capacity come first.
 void Cell::RequestAdvice(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step,
-                         Instant now) {
+                         NoRunnerReason reason, Instant now) {
   const std::optional<QueueAdvice>& advice = entry->job.policy().advice;
-  if (!advice || pending_advice_requests_ >= kMaxPendingRequests) return;
+  if (!advice || !NeedsTicket(reason)) return;
+  const StepSpec& spec = entry->job.spec().steps[step];
+  std::uint32_t& pending = PendingAdviceRequests(spec.long_running);
+  if (pending >= (spec.long_running ? kMaxPendingLongRunningRequests : kMaxPendingShortRequests)) {
+    return;
+  }
   StepAdmission& admission = entry->admissions[{occurrence, step}];
   if (!admission.MayRequest(now)) return;
-  const StepSpec& spec = entry->job.spec().steps[step];
   std::vector<std::pair<bool, RunnerKey>> candidates;  // First: lacks free capacity.
   for (const auto& [key, runner] : runners_) {
     if (runner.listing.service != entry->job.policy().service || !runner.AcceptsStarts(now) ||
@@ -46,6 +62,7 @@
   candidates.resize(std::min(candidates.size(), kMaxRunnersPerRequest));
   AdviceRequest request;
   request.step = {entry->job.id(), occurrence, step, 0};
+  request.long_running = spec.long_running;
   for (const auto& [lacks_capacity, key] : candidates) {
     request.runners.emplace_back(key, runners_.at(key).listing.id);
   }
@@ -54,7 +71,7 @@
                              advice->time_per_runner * static_cast<int>(kMaxRunnersPerRequest)) +
       options_.command_timeout;
   admission.RequestSent();
-  ++pending_advice_requests_;
+  ++pending;
   LogDecision("request_advice", {{"job", std::string(request.step.job.text())},
                                  {"step", Concat(step)},
                                  {"runners", Concat(request.runners.size())},
@@ -64,7 +81,7 @@
 
 void Cell::HandleAdvice(const AdviceRequest& request, const absl::StatusOr<Advice>& advice,
                         CellTime time) {
-  --pending_advice_requests_;
+  --PendingAdviceRequests(request.long_running);
   schedule_requested_ = true;
   JobEntry* entry = FindJob(request.step.job);
   if (entry == nullptr) return;
--- a/cells/cell_evacuations.cc
+++ b/cells/cell_evacuations.cc
@@ -21,9 +21,9 @@
 
 }  // namespace
 
-/// Reserves capacity for the long-running tasks that have to leave the runner. If one of them fits
-/// nowhere, reserves nothing and returns false.
-bool Cell::ReserveCapacityForEvacuation(const Runner& runner, Instant now) {
+/// Reserves capacity for the long-running tasks that have to leave the runner; none if one of them
+/// fits nowhere.
+Cell::EvacuationState Cell::ReserveCapacityForEvacuation(const Runner& runner, Instant now) {
   std::vector<TaskId> long_running;
   for (const auto& [task, run] : runner.runs) {
     if (run.long_running && run.phase != RunPhase::kStopping) long_running.push_back(task);
@@ -41,21 +41,22 @@
   std::stable_sort(steps.begin(), steps.end(),
                    [&](const auto& a, const auto& b) { return size(a) > size(b); });
   for (std::vector<TaskId>& tasks : steps) {
-    if (ReserveCapacityForStep(runner, std::move(tasks), now)) continue;
+    const EvacuationState state = ReserveCapacityForStep(runner, std::move(tasks), now);
+    if (state == EvacuationState::kReserved) continue;
     DropCapacityReservationsOf(runner);
-    return false;
+    return state;
   }
-  return true;
+  return EvacuationState::kReserved;
 }
 
 /// Reserves capacity for the tasks of a step on a runner beyond those that may be unavailable at
-/// once; returns false if there is too little. Tasks that are unavailable elsewhere count as well
-/// if capacity allows, but are not required: they may be running again by the time of the
-/// evacuation.
-bool Cell::ReserveCapacityForStep(const Runner& runner, std::vector<TaskId> tasks, Instant now) {
-  const JobEntry* entry = FindJob(tasks.front().job);
-  if (entry == nullptr || IsFinal(entry->job.state())) return true;
-  const TaskId& first = tasks.front();
+/// once. Tasks that are unavailable elsewhere count as well if capacity allows, but are not
+/// required: they may be running again by the time of the evacuation.
+Cell::EvacuationState Cell::ReserveCapacityForStep(const Runner& runner, std::vector<TaskId> tasks,
+                                                   Instant now) {
+  JobEntry* entry = FindJob(tasks.front().job);
+  if (entry == nullptr || IsFinal(entry->job.state())) return EvacuationState::kReserved;
+  const TaskId first = tasks.front();
   const std::uint32_t max_unavailable =
       std::max(entry->job.spec().steps[first.step].max_unavailable, 1U);
   const auto count = static_cast<std::uint32_t>(tasks.size());
@@ -75,27 +76,31 @@
                         [&](const TaskId& id) { return capacity_reservations_.contains(id); });
   std::uint32_t reserved = 0;
   for (const TaskId& id : tasks) {
-    if (reserved < should_leave && ReserveCapacity(*entry, id, runner, now)) {
+    if (reserved < should_leave && ReserveCapacity(entry, id, runner, now)) {
       ++reserved;
     } else {
       DropCapacityReservation(id);
     }
   }
-  return reserved >= must_leave;
+  if (reserved >= must_leave) return EvacuationState::kReserved;
+  return AwaitsAdvice(*entry, first) ? EvacuationState::kAwaitsAdvice
+                                     : EvacuationState::kImpossible;
 }
 
 /// Reserves capacity for one task or renews its reservation.
-bool Cell::ReserveCapacity(const JobEntry& entry, const TaskId& id, const Runner& origin,
-                           Instant now) {
+bool Cell::ReserveCapacity(JobEntry* entry, const TaskId& id, const Runner& origin, Instant now) {
   const auto reservation = capacity_reservations_.find(id);
   if (reservation != capacity_reservations_.end()) {
     reservation->second.until = now + kReservationPeriod;
     if (IsReservationValid(id, reservation->second, now)) return true;
     DropCapacityReservation(id);
   }
-  Runner* holder = ChooseEvacuationTarget(entry, id, {origin.key}, now);
-  if (holder == nullptr) return false;
-  AddCapacityReservation(id, entry.job.spec().steps[id.step].Load(), origin, holder, now);
+  const RunnerChoice choice = ChooseEvacuationTarget(*entry, id, {origin.key}, now);
+  if (choice.runner == nullptr) {
+    RequestAdvice(entry, id.occurrence, id.step, choice.reason, now);
+    return false;
+  }
+  AddCapacityReservation(id, entry->job.spec().steps[id.step].Load(), origin, choice.runner, now);
   return true;
 }
 
@@ -119,13 +124,16 @@
   }
   for (const TaskId& id : ids) {
     const CapacityReservation reservation = capacity_reservations_.at(id);
-    const JobEntry* entry = FindJob(id.job);
+    JobEntry* entry = FindJob(id.job);
     const Runner* origin = FindRunner(reservation.origin);
     if (entry == nullptr || origin == nullptr || IsMoving(id, reservation)) return false;
-    Runner* other = ChooseEvacuationTarget(*entry, id, {origin->key, holder.key}, now);
-    if (other == nullptr) return false;
+    const RunnerChoice other = ChooseEvacuationTarget(*entry, id, {origin->key, holder.key}, now);
+    if (other.runner == nullptr) {
+      RequestAdvice(entry, id.occurrence, id.step, other.reason, now);
+      return false;
+    }
     DropCapacityReservation(id);
-    AddCapacityReservation(id, reservation.load, *origin, other, now);
+    AddCapacityReservation(id, reservation.load, *origin, other.runner, now);
   }
   return true;
 }
@@ -145,7 +153,7 @@
     holder->reserved_capacity -= reservation.load;
     capacity_reservations_.erase(other);
     newly_open_runners_.insert(holder->key);
-    Runner* runner = ChooseRunner(entry, id, rack, now);
+    Runner* runner = ChooseRunner(entry, id, rack, now).runner;
     if (runner != nullptr) return runner;
     holder->reserved_capacity += reservation.load;
     capacity_reservations_[other] = reservation;
@@ -154,14 +162,14 @@
 }
 
 /// Returns the best runner that has capacity for a task once the short tasks there have ended.
-Runner* Cell::ChooseEvacuationTarget(const JobEntry& entry, const TaskId& id,
-                                     const std::set<RunnerKey>& excluded, Instant now) {
+Cell::RunnerChoice Cell::ChooseEvacuationTarget(const JobEntry& entry, const TaskId& id,
+                                                const std::set<RunnerKey>& excluded, Instant now) {
   const StepSpec& step = entry.job.spec().steps[id.step];
   // No task of such a step could start now. A gang starts as a whole or not at all.
-  if (step.gang || IsBlocked(entry)) return nullptr;
+  if (step.gang || IsBlocked(entry)) return {};
   const Resources load = step.Load();
   const std::string rack = RackOfStep(entry, id.occurrence, id.step);
-  Runner* best = nullptr;
+  RunnerChoice choice;
   double best_cost = std::numeric_limits<double>::infinity();
   for (auto& [key, runner] : runners_) {
     if (excluded.contains(key) || runner.listing.service != entry.job.policy().service) continue;
@@ -169,13 +177,16 @@
     if (!runner.FreeWithoutShortTasks().Holds(load) || runner.IsEarmarkedForOther(id, now)) {
       continue;
     }
-    if (!MayHost(entry, runner, id, now)) continue;
+    if (const auto obstacle = FindObstacle(entry, runner, id, now)) {
+      choice.reason = std::max(choice.reason, *obstacle);
+      continue;
+    }
     const double cost = CostOf(entry, runner, id, rack);
     if (cost >= best_cost) continue;
     best_cost = cost;
-    best = &runner;
+    choice.runner = &runner;
   }
-  return best;
+  return choice;
 }
 
 /// Stops one task whose reserved capacity is free now.
@@ -187,6 +198,15 @@
     if (run == runner->runs.end() || run->second.phase != RunPhase::kRunning) continue;
     const Runner* holder = FindRunner(reservation.runner);
     if (!holder->IsOpen(now) || !FreeForTask(*holder, task).Holds(reservation.load)) continue;
+    // The ticket must outlast the stop, or the task would wait for another one.
+    JobEntry* entry = FindJob(task.job);
+    const auto obstacle = entry == nullptr || IsFinal(entry->job.state())
+                              ? std::nullopt
+                              : FindObstacle(*entry, *holder, task, now + options_.stop_grace);
+    if (obstacle == NoRunnerReason::kNoTicket) {
+      RequestAdvice(entry, task.occurrence, task.step, *obstacle, now);
+      continue;
+    }
     if (!MayStop(*runner, task, StopScope::kOneTask, now)) continue;
     LogDecision("evacuate", {{"job", std::string(task.job.text())},
                              {"task", task.ToString()},
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -37,8 +37,10 @@
   const Blocker blocker = BlockerOf(*runner, time.now);
   if (blocker != Blocker::kLongRunningTask) {
     runner->evacuation_blocked_since = time.now;
-  } else if (!PrepareEvacuation(runner, time.now)) {
-    return CancelReservation(runner, time.now);
+  } else {
+    const EvacuationState state = PrepareEvacuation(runner, time.now);
+    if (state == EvacuationState::kAwaitsAdvice) return {CallVerdict::kNotReady};
+    if (state == EvacuationState::kImpossible) return CancelReservation(runner, time.now);
   }
   if (time.now >= runner->reserved_until) {
     LogDecision(
@@ -86,14 +88,14 @@
 
 /// Whether the runner may be reserved so that its long-running tasks can leave: they fit elsewhere
 /// and have not waited too long for other tasks of the step to be running again.
-bool Cell::PrepareEvacuation(Runner* runner, Instant now) {
-  if (now < runner->no_reservation_until) return false;
+Cell::EvacuationState Cell::PrepareEvacuation(Runner* runner, Instant now) {
+  if (now < runner->no_reservation_until) return EvacuationState::kImpossible;
   if (now >= runner->reserved_until) runner->evacuation_blocked_since = now;
   const auto max_blocked =
       CouldRunUnavailableTask(*runner, now) ? kMaxBlockedAsOnlyHost : kMaxBlocked;
   if (now - runner->evacuation_blocked_since >= max_blocked) {
     runner->no_reservation_until = now + kReservationBackoff;
-    return false;
+    return EvacuationState::kImpossible;
   }
   return ReserveCapacityForEvacuation(*runner, now);
 }
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -121,7 +121,7 @@
 void Cell::PlaceStep(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time) {
   const bool long_running = entry->job.spec().steps[step].long_running;
   if (!long_running && LacksCapacityFor(*entry, entry->job.spec().steps[step])) {
-    return RequestAdvice(entry, occurrence, step, time.now);
+    return RequestAdvice(entry, occurrence, step, NoRunnerReason::kNoCapacity, time.now);
   }
   const auto& tasks = entry->job.occurrences()[occurrence].steps[step].tasks;
   for (std::uint32_t index = 0; index < tasks.size(); ++index) {
@@ -129,16 +129,24 @@
       continue;
     }
     const TaskId id{entry->job.id(), occurrence, step, index};
-    Runner* runner = ChooseRunner(*entry, id, RackOfStep(*entry, occurrence, step), time.now);
+    const RunnerChoice choice =
+        ChooseRunner(*entry, id, RackOfStep(*entry, occurrence, step), time.now);
+    Runner* runner = choice.runner;
     if (runner == nullptr && long_running) runner = TakeOverReservedCapacity(*entry, id, time.now);
-    if (runner == nullptr && long_running) {
-      if (!capacity_reservations_.contains(id)) EarmarkCapacity(*entry, id, time.now);
+    if (runner != nullptr) {
+      Start(entry, id, runner, NextRun(*entry, tasks[index].last_run), time);
       continue;
     }
-    if (runner == nullptr && FailedLately(tasks[index], time.now)) continue;
-    // The other tasks of the step need the same capacity.
-    if (runner == nullptr) return RequestAdvice(entry, occurrence, step, time.now);
-    Start(entry, id, runner, NextRun(*entry, tasks[index].last_run), time);
+    RequestAdvice(entry, occurrence, step, choice.reason, time.now);
+    if (long_running) {
+      const bool waits_for_ticket = choice.reason == NoRunnerReason::kNoTicket;
+      if (!waits_for_ticket && !capacity_reservations_.contains(id)) {
+        EarmarkCapacity(*entry, id, time.now);
+      }
+      continue;
+    }
+    // The other tasks of the step need the same capacity, and may have failed elsewhere.
+    if (!FailedLately(tasks[index], time.now)) return;
   }
 }
 
@@ -151,9 +159,11 @@
   std::string checkpoint;
   const Resources load = entry->job.spec().steps[step].Load();
   std::string rack = RackOfStep(*entry, occurrence, step);
+  RunnerChoice choice;
   for (std::uint32_t index = 0; index < progress.tasks.size(); ++index) {
     const TaskId id{entry->job.id(), occurrence, step, index};
-    Runner* runner = ChooseRunner(*entry, id, rack, time.now);
+    choice = ChooseRunner(*entry, id, rack, time.now);
+    Runner* runner = choice.runner;
     if (runner == nullptr) break;
     runner->used += load;  // Taken until all members have been placed.
     if (entry->job.spec().steps[step].same_rack && rack.empty()) rack = runner->listing.rack;
@@ -164,7 +174,7 @@
   for (const auto& [id, runner] : chosen) runner->used -= load;
   if (chosen.size() != progress.tasks.size()) {
     rejected_sizes_.Clear();  // The capacity of the placed members is free again.
-    return RequestAdvice(entry, occurrence, step, time.now);
+    return RequestAdvice(entry, occurrence, step, choice.reason, time.now);
   }
   const RunNumber run = NextRun(*entry, last);
   for (const auto& [id, runner] : chosen) {
@@ -207,20 +217,32 @@
          rejected_sizes_.IsRejected(entry.job.policy().service, step.required_label, step.Load());
 }
 
-/// Whether the runner may run the task, apart from its free capacity and its own state.
-bool Cell::MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id,
-                   Instant now) const {
+/// Returns what keeps the runner from running the task, apart from its free capacity and its own
+/// state; nothing if it may run the task. A runner that may never run it has no capacity for it.
+std::optional<NoRunnerReason> Cell::FindObstacle(const JobEntry& entry, const Runner& runner,
+                                                 const TaskId& id, Instant now) const {
   const StepSpec& step = entry.job.spec().steps[id.step];
   const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
-  if (runner.runs.contains(id)) return false;
-  if (task.failed_on == runner.key && FailedLately(task, now)) return false;
+  if (runner.runs.contains(id)) return NoRunnerReason::kNoCapacity;
   if (step.max_per_runner > 0 &&
       RunsOfStep(runner, id) + ReservationsOfStep(runner, id) >= step.max_per_runner) {
-    return false;
+    return NoRunnerReason::kNoCapacity;
+  }
+  const bool advised = entry.job.policy().advice.has_value();
+  const StepAdmission* admission = advised ? FindAdmission(entry, id) : nullptr;
+  if (admission != nullptr && !admission->MayAdmit(runner.listing.id)) {
+    return NoRunnerReason::kNoCapacity;
+  }
+  if (task.failed_on == runner.key && FailedLately(task, now)) {
+    return NoRunnerReason::kFailedLately;
   }
-  if (!entry.job.policy().advice) return true;
-  const StepAdmission* admission = FindAdmission(entry, id);
-  return admission != nullptr && admission->TicketFor(runner.key, now) != nullptr;
+  const bool has_ticket = admission != nullptr && admission->TicketFor(runner.key, now) != nullptr;
+  return advised && !has_ticket ? std::optional(NoRunnerReason::kNoTicket) : std::nullopt;
+}
+
+bool Cell::MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id,
+                   Instant now) const {
+  return !FindObstacle(entry, runner, id, now);
 }
 
 /// Returns the placement cost of a task on a runner; the runner with the lowest cost is chosen.
@@ -239,8 +261,8 @@
   return PlacementCost(view, step.Load());
 }
 
-Runner* Cell::ChooseRunner(const JobEntry& entry, const TaskId& id, const std::string& rack,
-                           Instant now) {
+Cell::RunnerChoice Cell::ChooseRunner(const JobEntry& entry, const TaskId& id,
+                                      const std::string& rack, Instant now) {
   const StepSpec& step = entry.job.spec().steps[id.step];
   const std::string& service = entry.job.policy().service;
   const Resources load = step.Load();
@@ -249,10 +271,10 @@
     Runner* holder = FindRunner(reservation->second.runner);
     if (holder != nullptr && holder->IsOpen(now) && FreeForTask(*holder, id).Holds(load) &&
         MayHost(entry, *holder, id, now)) {
-      return holder;
+      return {holder};
     }
   }
-  Runner* best = nullptr;
+  RunnerChoice choice;
   double best_cost = std::numeric_limits<double>::infinity();
   bool any_capacity = false;
   const auto consider = [&](Runner& runner) {
@@ -260,20 +282,23 @@
     if (!runner.IsOpen(now) || !runner.HasLabel(step.required_label)) return;
     if (runner.IsEarmarkedForOther(id, now)) return;
     any_capacity = true;
-    if (!MayHost(entry, runner, id, now)) return;
+    if (const auto obstacle = FindObstacle(entry, runner, id, now)) {
+      choice.reason = std::max(choice.reason, *obstacle);
+      return;
+    }
     const double cost = CostOf(entry, runner, id, rack);
     if (cost < best_cost) {
       best_cost = cost;
-      best = &runner;
+      choice.runner = &runner;
     }
   };
   if (rejected_sizes_.IsRejected(service, step.required_label, load)) {
     for (const RunnerKey key : newly_open_runners_) consider(runners_.at(key));
-    return best;
+    return choice;
   }
   for (auto& [key, runner] : runners_) consider(runner);
   if (!any_capacity) rejected_sizes_.RecordRejected(service, step.required_label, load);
-  return best;
+  return choice;
 }
 
 /// Earmarks the capacity that becomes free on one runner for a long-running task that fits nowhere.
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -243,6 +243,7 @@
 /// Asks the advisor which of the given runners may run a step.
 struct AdviceRequest {
   TaskId step;  ///< Identifies the step; the task index is unused.
+  bool long_running = false;
   std::vector<std::pair<RunnerKey, std::string>> runners;  ///< Keys and ids.
   std::chrono::milliseconds timeout{0};
 };
--- a/scheduling/placement.h
+++ b/scheduling/placement.h
@@ -7,11 +7,27 @@
 #ifndef WIGEONLANE_SCHEDULING_PLACEMENT_H_
 #define WIGEONLANE_SCHEDULING_PLACEMENT_H_
 
+#include <cstdint>
+
 #include "jobs/job.h"
 #include "scheduling/dominant_share.h"
 
 namespace wigeonlane {
 
+/// Why a task found no runner. If runners have different reasons, the last one of this list counts:
+/// it takes the least for the task to start there.
+enum class NoRunnerReason : std::uint8_t {
+  kNoCapacity,    ///< No runner that may run the task has enough capacity that is free for it.
+  kFailedLately,  ///< The task has just failed there.
+  kNoTicket,      ///< The advisor may admit the runner, but no valid ticket is at hand.
+};
+
+/// Whether a ticket from the queue's advisor may help. For want of capacity, tickets are requested
+/// ahead, so that the task can start as soon as a runner has capacity.
+inline bool NeedsTicket(NoRunnerReason reason) {
+  return reason == NoRunnerReason::kNoTicket || reason == NoRunnerReason::kNoCapacity;
+}
+
 /// Properties of a runner, and of the task to be placed, that determine the cost.
 struct PlacementView {
   Resources capacity;
--- a/scheduling/step_admission.h
+++ b/scheduling/step_admission.h
@@ -48,6 +48,7 @@
   void DropTicket(RunnerKey runner) { tickets_.erase(runner); }
 
   bool MayRequest(Instant now) const { return !request_pending_ && now >= retry_at_; }
+  bool request_pending() const { return request_pending_; }
   void RequestSent() { request_pending_ = true; }
   void ResponseReceived() { request_pending_ = false; }
   void RequestFailed(Instant retry_at) {
--- a/tools/job_fleet.py
+++ b/tools/job_fleet.py
@@ -34,6 +34,7 @@
         self.version = 0
         self.store_port = 0
         self.parts = 4
+        self.further_settings = ""
 
     def start_store(self, pools):
         """Starts the stand-in. `pools` maps the name of a pool to its number of runners."""
@@ -78,7 +79,8 @@
         path = self.directory / f"{name}.conf"
         path.write_text(SETTINGS.format(name=name, front=front, ready=ready, peers=peers,
                                         metrics=peers + 1, parts=self.parts,
-                                        store=store_port or self.store_port))
+                                        store=store_port or self.store_port)
+                        + self.further_settings)
         self.entries[name] = self._add(
             name, [self.build / "daemon/wigeonlaned", "jobs"],
             {"http": front, "ready": ready, "metrics": peers + 1},
