cells: go by the present route as to whether an advisor admits runners

A queue that gains an advisor while its jobs wait would have had their starts refused without end for want of a ticket (each is a start rejected); one that loses its advisor would have left its jobs waiting for tickets that nobody gives.

Cause: whether tickets are needed was read from the policy that is stored with the job, which is that of the route at its acceptance.

Change: owners apply the present routes, by address, to the open jobs of their cells, after a takeover and with each version. A queue without a route keeps what it had. A start that is refused for want of a ticket makes the step ask, whatever the routes say.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -88,6 +88,10 @@
   /// is tied to the cell.
   void PrepareHandover(std::chrono::milliseconds role_wait, CellTime time);
 
+  /// Goes by the present routes as to whether an advisor must admit runners to a queue's jobs. Jobs
+  /// of a queue without a route keep to the route that it had when they were accepted.
+  void ApplyRoutes(const std::vector<QueueRoute>& routes, Instant now);
+
   /// Replaces the list of discovered runners of this cell's services.
   void SetRunners(const std::vector<RunnerListing>& listings, CellTime time);
 
@@ -186,11 +190,13 @@
     JobEntry(Job new_job, QueueAddress address)
         : job(std::move(new_job)),
           queue(std::move(address)),
-          estimate_key(queue.known() ? queue.ToString() : job.policy().name) {}
+          estimate_key(queue.known() ? queue.ToString() : job.policy().name),
+          advice(job.policy().advice) {}
 
     Job job;
     QueueAddress queue;
-    std::string estimate_key;  ///< Identifies the queue for estimates of run times.
+    std::string estimate_key;           ///< Identifies the queue for estimates of run times.
+    std::optional<QueueAdvice> advice;  ///< Set if an advisor must admit runners.
     JobState stored_state =
         JobState::kQueued;   ///< Newest state that callers may see: final only when stored.
     bool accepted = false;   ///< The job is stored.
@@ -397,6 +403,7 @@
   static const StepAdmission* FindAdmission(const JobEntry& entry, const TaskId& task);
   void RequestAdvice(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step,
                      NoRunnerReason reason, Instant now);
+  void HandleRefusedTicket(const StartCommand& command);
   static bool AwaitsAdvice(const JobEntry& entry, const TaskId& task);
   std::uint32_t& PendingAdviceRequests(bool long_running) {
     return long_running ? pending_long_running_advice_requests_ : pending_advice_requests_;
--- a/cells/cell_admission.cc
+++ b/cells/cell_admission.cc
@@ -1,5 +1,6 @@
 /// Admission: for some queues an external advisor decides which runners may run a step.
 #include <algorithm>
+#include <map>
 #include <utility>
 
 #include "cells/cell.h"
@@ -19,6 +20,9 @@
 constexpr std::uint32_t kMaxPendingLongRunningRequests = 1;
 constexpr std::uint32_t kMaxPendingShortRequests =
     kMaxPendingRequests - kMaxPendingLongRunningRequests;
+/// Assumed of an advisor whose timing no known route gives.
+constexpr QueueAdvice kUnknownAdvice{std::chrono::milliseconds(50), std::chrono::milliseconds(5),
+                                     std::chrono::milliseconds(1'000)};
 /// Delay after an advice request without a response.
 constexpr std::chrono::milliseconds kRetryDelay{300};
 
@@ -39,7 +43,7 @@
 /// runner for `reason`. Runners with free capacity come first.
 void Cell::RequestAdvice(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step,
                          NoRunnerReason reason, Instant now) {
-  const std::optional<QueueAdvice>& advice = entry->job.policy().advice;
+  const std::optional<QueueAdvice>& advice = entry->advice;
   if (!advice || !NeedsTicket(reason)) return;
   const StepSpec& spec = entry->job.spec().steps[step];
   std::uint32_t& pending = PendingAdviceRequests(spec.long_running);
@@ -93,9 +97,8 @@
     return admission.RequestFailed(time.now + kRetryDelay);
   }
   admission.ResponseReceived();
-  const auto valid = advice->valid.count() > 0 || !entry->job.policy().advice
-                         ? advice->valid
-                         : entry->job.policy().advice->ticket_validity;
+  const QueueAdvice timing = entry->advice.value_or(QueueAdvice{});
+  const auto valid = advice->valid.count() > 0 ? advice->valid : timing.ticket_validity;
   for (const auto& [key, id] : request.runners) {
     const auto ticket = advice->tickets.find(id);
     if (ticket == advice->tickets.end()) {
@@ -111,4 +114,25 @@
                                   {"valid_ms", Concat(valid.count())}});
 }
 
+void Cell::ApplyRoutes(const std::vector<QueueRoute>& routes, Instant now) {
+  std::map<QueueAddress, std::optional<QueueAdvice>> advice_of;
+  for (const QueueRoute& route : routes) advice_of[route.address] = route.policy.advice;
+  for (const JobId& id : open_jobs_) {
+    JobEntry* entry = FindJob(id);
+    const auto advice = advice_of.find(entry->queue);
+    if (advice != advice_of.end()) entry->advice = advice->second;
+  }
+  schedule_requested_ = true;
+  reschedule_at_ = std::min(reschedule_at_, now);
+}
+
+/// A runner refused a start because it lacks a valid ticket. If the queue has no advisor as far as
+/// this owner knows, the runner goes by another version of its route.
+void Cell::HandleRefusedTicket(const StartCommand& command) {
+  JobEntry* entry = FindJob(command.task.job);
+  if (entry == nullptr) return;
+  if (!entry->advice) entry->advice = entry->job.policy().advice.value_or(kUnknownAdvice);
+  entry->admissions[{command.task.occurrence, command.task.step}].DropTicket(command.runner);
+}
+
 }  // namespace wigeonlane
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -69,6 +69,15 @@
   /// Nothing until that version is known; 0 if there was none.
   std::optional<std::uint64_t> routes_at_takeover() const { return routes_at_takeover_; }
 
+  /// `routes` must outlive the host. Must be called before `Start`.
+  void SetRoutes(const RouteTable* routes) { routes_ = routes; }
+  /// The routes have changed.
+  void ApplyRoutes() {
+    if (cell_ == nullptr || routes_ == nullptr) return;
+    cell_->ApplyRoutes(routes_->routes(), clock_->Now());
+    SchedulePump();
+  }
+
   /// Must be called before `Start`.
   void SetTermWatch(TermWatch watch) { term_watch_ = std::move(watch); }
 
@@ -213,6 +222,7 @@
     cell_->Restore(snapshot.records, Time(), term_watch_);
     cell_->RecordOwnership(last_owned_token_, clock_->Now());
     cell_->SetRunners(listings_, Time());
+    if (routes_ != nullptr) cell_->ApplyRoutes(routes_->routes(), clock_->Now());
     Pump();
   }
 
@@ -397,6 +407,7 @@
   std::function<void()> on_released_;
   std::unique_ptr<Cell> cell_;
   std::vector<RunnerListing> listings_;
+  const RouteTable* routes_ = nullptr;
   Instant authority_until_{};
   TermWatch term_watch_;
   TermToken last_owned_token_ = 0;
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -130,9 +130,7 @@
       runner->health.RecordFailure(command.task.job, time.now);
       break;
     case CommandStatus::kNoTicket:
-      if (JobEntry* entry = FindJob(command.task.job)) {
-        entry->admissions[{command.task.occurrence, command.task.step}].DropTicket(command.runner);
-      }
+      HandleRefusedTicket(command);
       break;
     case CommandStatus::kInvalid:
       runner->no_starts_until = time.now + kInvalidPause;
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -228,7 +228,7 @@
       RunsOfStep(runner, id) + ReservationsOfStep(runner, id) >= step.max_per_runner) {
     return NoRunnerReason::kNoCapacity;
   }
-  const bool advised = entry.job.policy().advice.has_value();
+  const bool advised = entry.advice.has_value();
   const StepAdmission* admission = advised ? FindAdmission(entry, id) : nullptr;
   if (admission != nullptr && !admission->MayAdmit(runner.listing.id)) {
     return NoRunnerReason::kNoCapacity;
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -225,6 +225,7 @@
   const std::vector<QueueService> old_assignments = routes_.Assignments();
   routes_.Assign(config->version, std::move(config->routes));
   routes_read_at_ = clock_.Now();
+  for (const auto& [cell, host] : cells_.hosts()) host->ApplyRoutes();
   // Requests of queues that moved wait until a renewal has confirmed the version.
   if (!cells_.hosts().empty() && routes_.Assignments() != old_assignments) ownership_.RenewNow();
   caller_limits_ = config->limits;
@@ -244,6 +245,7 @@
   host->SetTermWatch(
       {ownership_.NoRenewalsSince(token), settings_.partitions,
        [this](TermToken earlier_token) { return ownership_.GenerationStartedBy(earlier_token); }});
+  host->SetRoutes(&routes_);
   host->SetFencedHook([this, cell, token] { ReadRoutesAtTakeover(cell, token); });
   // The response that assigned the cell to this instance may have been read late, so the authority
   // starts at the time of the renewal.
--- a/tests/cells/cell_admission_test.cc
+++ b/tests/cells/cell_admission_test.cc
@@ -326,6 +326,73 @@
   CHECK(AdvanceWithAdvisor(milliseconds(800)) == 0);
 }
 
+/// The route of a queue changes while a job waits.
+class CellAdviceChangeTest : protected CellAdvisedStepTest {
+ protected:
+  const QueueAddress queue_{"h", "/queue/"};
+
+  void SubmitTo(const QueuePolicy& policy) {
+    JobRecord record;
+    record.spec.steps = {LongRunningStep(1)};
+    record.policy = policy;
+    record.queue = queue_;
+    cell_->Submit(1, *JobId::Parse(kJob), record, Time());
+  }
+
+  static QueuePolicy Unadvised() {
+    QueuePolicy policy = Advised();
+    policy.advice.reset();
+    return policy;
+  }
+};
+
+// Guards against starts that are refused without end, or made without the ticket that is required.
+TEST_CASE_METHOD(CellAdviceChangeTest, "Route_GainsAnAdvisorWhileAJobWaits_JobStartsWithATicket") {
+  ListRunners(0, kCapacity);
+  SubmitTo(Unadvised());
+  AdvanceTime(kReactionTime);
+  cell_->ApplyRoutes({{queue_, Advised()}}, now_);
+  ListRunners(kRunners, kCapacity);
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.empty());
+  AdvanceWithAdvisor(kReactionTime);
+  REQUIRE(starts_.size() == 1);
+  CHECK_FALSE(starts_[0].ticket.empty());
+}
+
+TEST_CASE_METHOD(CellAdviceChangeTest, "Route_LosesItsAdvisorWhileAJobWaits_JobStarts") {
+  SubmitTo(Advised());
+  AdvanceTime(kReactionTime);
+  REQUIRE(starts_.empty());
+  cell_->ApplyRoutes({{queue_, Unadvised()}}, now_);
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.size() == 1);
+}
+
+TEST_CASE_METHOD(CellAdviceChangeTest, "Route_IsRemovedWhileAJobWaits_JobKeepsItsAdvisor") {
+  SubmitTo(Advised());
+  AdvanceTime(kReactionTime);
+  cell_->ApplyRoutes({}, now_);
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.empty());
+  AdvanceWithAdvisor(kReactionTime);
+  CHECK(starts_.size() == 1);
+}
+
+// The runner goes by a route that this owner does not know yet.
+TEST_CASE_METHOD(CellAdviceChangeTest, "Start_RefusedForWantOfATicketWithoutAnAdvisor_AsksForOne") {
+  SubmitTo(Unadvised());
+  AdvanceTime(kReactionTime);
+  REQUIRE(starts_.size() == 1);
+  running_.clear();
+  cell_->HandleStartResponse(starts_[0], {CommandStatus::kNoTicket, {}}, Time());
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.size() == 1);
+  AdvanceWithAdvisor(kReactionTime);
+  REQUIRE(starts_.size() == 2);
+  CHECK_FALSE(starts_[1].ticket.empty());
+}
+
 /// A machine that is to be taken down holds two long-running tasks of a step that may miss one.
 class CellAdvisedEvacuationTest : protected CellAdvisedStepTest {
  protected:
