--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -165,13 +165,18 @@
     choice = ChooseRunner(*entry, id, rack, time.now);
     Runner* runner = choice.runner;
     if (runner == nullptr) break;
-    runner->used += load;  // Taken until all members have been placed.
+    // Taken until all members have been placed, and counted by the limit of tasks on one runner.
+    runner->used += load;
+    runner->runs.emplace(id, LiveRun{});
     if (entry->job.spec().steps[step].same_rack && rack.empty()) rack = runner->listing.rack;
     chosen.emplace_back(id, runner);
     last = std::max(last, progress.tasks[index].last_run);
     if (checkpoint.empty()) checkpoint = progress.tasks[index].checkpoint;
   }
-  for (const auto& [id, runner] : chosen) runner->used -= load;
+  for (const auto& [id, runner] : chosen) {
+    runner->used -= load;
+    runner->runs.erase(id);
+  }
   if (chosen.size() != progress.tasks.size()) {
     rejected_sizes_.Clear();  // The capacity of the placed members is free again.
     return RequestAdvice(entry, occurrence, step, choice.reason, time.now);
--- a/tests/cells/cell_placement_test.cc
+++ b/tests/cells/cell_placement_test.cc
@@ -90,6 +90,34 @@
   CHECK(starts_.size() == 2);
 }
 
+// Guards against ROUTE (found by the second review): members of a gang that are placed together are
+// not counted by the limit of the step's tasks on one runner.
+TEST_CASE_METHOD(CellPlacementTest, "Gang_LimitOfTasksOnARunner_IsKept") {
+  BeginWith(2);
+  StepSpec step = SmallStep();
+  step.gang = true;
+  step.max_per_runner = 1;
+  step.count = 2;
+  Submit(step);
+  AdvanceTime(milliseconds(500));
+  REQUIRE(starts_.size() == 2);
+  CHECK(IdOf(starts_[0].runner) != IdOf(starts_[1].runner));
+}
+
+TEST_CASE_METHOD(CellPlacementTest, "Gang_LimitOfTasksOnARunnerCannotBeKept_IsNotStarted") {
+  BeginWith(2);
+  StepSpec step = SmallStep();
+  step.gang = true;
+  step.max_per_runner = 1;
+  step.count = 3;
+  Submit(step);
+  AdvanceTime(milliseconds(500));
+  CHECK(starts_.empty());
+  ListRunners(3, kCapacity);
+  AdvanceTime(milliseconds(500));
+  CHECK(starts_.size() == 3);
+}
+
 // Guards against a healthy runner that is never used again (LOST): a short loss of connection keeps
 // a start from being sent, and nothing makes the owner poll the runner again.
 TEST_CASE_METHOD(CellPlacementTest, "IdleRunner_OnePollFailed_IsUsedAgain") {
