--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -100,7 +100,7 @@
   ReportedResult EndOldest(const std::string& runner, RunResult how = RunResult::kDone) {
     auto& runs = running_[runner];
     if (runs.empty()) return {};
-    const ReportedResult result{++last_end_[runner], runs.front().task, runs.front().run, how, ""};
+    ReportedResult result{++last_end_[runner], runs.front().task, runs.front().run, how, ""};
     results_[runner].push_back(result);
     runs.erase(runs.begin());
     return result;
