--- a/cells/queue_survey.cc
+++ b/cells/queue_survey.cc
@@ -32,8 +32,8 @@
   std::set<std::string> holding;
   for (const QueueAddress& queue : {present.queue, QueueAddress{}}) {
     const auto found = holding_services_.find(queue);
-    if (found != holding_services_.end())
-      holding.insert(found->second.begin(), found->second.end());
+    if (found == holding_services_.end()) continue;
+    holding.insert(found->second.begin(), found->second.end());
   }
   holding.erase(present.service);
   return std::vector<std::string>(holding.begin(), holding.end());
