tests: a fake host that has lost its cell does not deny ids from memory

The product gives that answer only while its membership cannot have ended (Cell::VerdictOnUnknown, guarded by cell_former_owner_test), and "not the owner" after that; a successor takes the cell over later than that. The fake host had no such limit. It has it now, so the world is as strict as before about everything that an owner may answer.

--- a/tests/cells/fake_cell_host.h
+++ b/tests/cells/fake_cell_host.h
@@ -81,8 +81,11 @@
   }
 
   CallResponse Show(const JobId& id, const QueueAddress& queue) const {
-    if (cell_.cancelled_ids.contains(id)) return {CallVerdict::kCancelledBeforeSubmit};
-    return {cell_.Holds(id, queue) ? CallVerdict::kShown : CallVerdict::kNotFound};
+    if (cell_.Holds(id, queue)) return {CallVerdict::kShown};
+    // A cell that has been assigned to another instance knows that its membership may have ended.
+    if (partition_->epoch != token_) return {CallVerdict::kNotOwner};
+    const bool cancelled = cell_.cancelled_ids.contains(id);
+    return {cancelled ? CallVerdict::kCancelledBeforeSubmit : CallVerdict::kNotFound};
   }
 
   CallResponse CountPending(const QueueAddress& queue, const std::string&) const {
