cells: a former owner does not deny a cancelled id whose job was accepted since

Cause: Cell::Show answered for cancelled ids from memory at any time; for other unknown ids it asks whether the membership may have ended.

Before: Show_OfACancelledId_IsDecidedOnlyWithAMembership failed.

--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -196,8 +196,9 @@
     const CancelledIds::Entry* cancelled = cancelled_ids_.Find(id);
     if (cancelled == nullptr) return {VerdictOnUnknown(now)};
     if (!cancelled->stored) return {CallVerdict::kRefused, JobState::kQueued, 0, kStoreRetryAfter};
-    if (!cancelled->submission_stored) return {CallVerdict::kCancelledBeforeSubmit};
-    return {CallVerdict::kShown, JobState::kCancelled};
+    if (cancelled->submission_stored) return {CallVerdict::kShown, JobState::kCancelled};
+    // A successor may have accepted a submission of the id.
+    return {MembershipHolds(now) ? CallVerdict::kCancelledBeforeSubmit : CallVerdict::kNotOwner};
   }
   const JobEntry& entry = *found->second;
   JobState state = entry.job.state();
--- a/tests/cells/cell_former_owner_test.cc
+++ b/tests/cells/cell_former_owner_test.cc
@@ -41,6 +41,16 @@
   CHECK(cell_->Show(id_, now_).verdict == CallVerdict::kNotOwner);
 }
 
+// Guards against an answer that the id is unknown after a successor has accepted its submission.
+TEST_CASE_METHOD(CellFormerOwnerTest, "Show_OfACancelledId_IsDecidedOnlyWithAMembership") {
+  const QueueAddress queue{"h", "/queue/"};
+  cell_->Cancel(kCancel, id_, queue, QueueService{queue, std::string(kService)}, Time());
+  AdvanceTime(milliseconds(100));
+  CHECK(cell_->Show(id_, now_).verdict == CallVerdict::kCancelledBeforeSubmit);
+  LoseStoreFor(CellOptions().min_membership);
+  CHECK(cell_->Show(id_, now_).verdict == CallVerdict::kNotOwner);
+}
+
 TEST_CASE_METHOD(CellFormerOwnerTest, "Cancel_OfAnUnknownId_IsDecidedOnlyWithAMembership") {
   CHECK(CancelInFormerService() == CallVerdict::kNotFound);
   LoseStoreFor(CellOptions().min_membership);
