--- a/tests/cells/cell_result_durability_test.cc
+++ b/tests/cells/cell_result_durability_test.cc
@@ -77,6 +77,15 @@
     return acknowledged;
   }
 
+  /// Requires that the result of the second runner is acknowledged as soon as the open append is
+  /// stored, and not before.
+  void CheckAcknowledgedOnceStored() {
+    CHECK(Acknowledged(RunnerName(1)) == 0);
+    StoreOpenAppend();
+    AdvanceTime(kSettled);
+    CHECK(Acknowledged(RunnerName(1)) == 1);
+  }
+
   JobState State() const { return cell_->Show(*JobId::Parse(kJob), now_).state; }
 };
 
@@ -85,11 +94,8 @@
   StartGang();
   EndGangWhileStoreIsSilent();
   CHECK(Acknowledged(RunnerName(0)) == 0);
-  CHECK(Acknowledged(RunnerName(1)) == 0);
-  StoreOpenAppend();
-  AdvanceTime(kSettled);
+  CheckAcknowledgedOnceStored();
   CHECK(Acknowledged(RunnerName(0)) == 1);
-  CHECK(Acknowledged(RunnerName(1)) == 1);
 }
 
 TEST_CASE_METHOD(CellResultDurabilityTest,
@@ -145,10 +151,7 @@
   REQUIRE(starts_.size() == 2);
   polls_.clear();
   EndGangWhileStoreIsSilent();
-  CHECK(Acknowledged(RunnerName(1)) == 0);
-  StoreOpenAppend();
-  AdvanceTime(kSettled);
-  CHECK(Acknowledged(RunnerName(1)) == 1);
+  CheckAcknowledgedOnceStored();
 }
 
 // The failure does not count because the task is done, which is not stored yet.
@@ -160,10 +163,7 @@
   AdvanceTime(milliseconds(50));
   FailOldest(RunnerName(1));
   AdvanceTime(kSettled);
-  CHECK(Acknowledged(RunnerName(1)) == 0);
-  StoreOpenAppend();
-  AdvanceTime(kSettled);
-  CHECK(Acknowledged(RunnerName(1)) == 1);
+  CheckAcknowledgedOnceStored();
 }
 
 // Its job is being cancelled, and the record of that is in flight.
@@ -175,10 +175,7 @@
   AdvanceTime(milliseconds(50));
   EndOldest(RunnerName(1), RunResult::kStopped);
   AdvanceTime(kSettled);
-  CHECK(Acknowledged(RunnerName(1)) == 0);
-  StoreOpenAppend();
-  AdvanceTime(kSettled);
-  CHECK(Acknowledged(RunnerName(1)) == 1);
+  CheckAcknowledgedOnceStored();
 }
 
 // Guards against results that stay on the list of a runner: they wait for a batch that no record
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -99,6 +99,8 @@
   const Cell* cell() const;
 
  private:
+  static constexpr std::string_view kService = "press";
+
   struct Submission {
     JobId job;
     bool awaited = true;  ///< The caller still waits for the response.
--- a/tests/cells/job_shapes.cc
+++ b/tests/cells/job_shapes.cc
@@ -50,19 +50,8 @@
 }
 
 JobSpec GangSpecOf(std::size_t shape) {
-  JobSpec spec;
-  switch (shape % 3) {
-    case 0:
-      spec.steps = {Step(2, 5'000)};
-      break;
-    case 1:
-      spec.steps = {Step(3, 1'500), Step(2, 2'000)};
-      spec.steps[1].after = {0};
-      break;
-    default:
-      spec.steps = {Step(4, 6'000)};
-      break;
-  }
+  constexpr std::size_t kShapesWithoutOtherTraits = 3;
+  JobSpec spec = SpecOf(shape % kShapesWithoutOtherTraits);
   spec.steps[0].gang = true;
   return spec;
 }
--- a/tests/cells/job_shapes.h
+++ b/tests/cells/job_shapes.h
@@ -13,7 +13,7 @@
 /// Returns steps of different shapes: wide, chained, large, long-running, a diamond, a single task.
 JobSpec SpecOf(std::size_t shape);
 
-/// Returns steps of different shapes with a gang: alone, before another step, on all runners.
+/// Returns steps of which the first is a gang: alone, before another step, on all runners.
 JobSpec GangSpecOf(std::size_t shape);
 
 /// Returns a number that looks random but depends on `value` only.
