--- a/cells/cancelled_ids.cc
+++ b/cells/cancelled_ids.cc
@@ -7,7 +7,7 @@
 namespace wigeonlane {
 namespace {
 
-/// The form that versions before issue 43 stored: the queue is given by its name.
+/// The form that earlier versions stored, with the name of the queue in place of its address.
 struct UnaddressedCancelledId {
   std::string queue_name;
   std::string service;
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -361,6 +361,7 @@
   Runner* TakeOverReservedCapacity(const JobEntry& entry, const TaskId& id, Instant now);
   RunnerChoice ChooseEvacuationTarget(const JobEntry& entry, const TaskId& id,
                                       const std::set<RunnerKey>& excluded, Instant now);
+  bool HasTicketForMove(const TaskId& id, const Runner& holder, Instant now);
   bool IsMoving(const TaskId& id, const CapacityReservation& reservation);
   bool IsReservationValid(const TaskId& id, const CapacityReservation& reservation, Instant now);
   void DropCapacityReservation(const TaskId& id);
--- a/cells/cell_evacuations.cc
+++ b/cells/cell_evacuations.cc
@@ -189,6 +189,17 @@
   return choice;
 }
 
+/// Whether the task may still start on `holder` once it has been stopped, as far as that takes a
+/// ticket. Requests one if it is missing.
+bool Cell::HasTicketForMove(const TaskId& id, const Runner& holder, Instant now) {
+  JobEntry* entry = FindJob(id.job);
+  if (entry == nullptr || IsFinal(entry->job.state())) return true;
+  const auto obstacle = FindObstacle(*entry, holder, id, now + options_.stop_grace);
+  if (obstacle != NoRunnerReason::kNoTicket) return true;
+  RequestAdvice(entry, id.occurrence, id.step, *obstacle, now);
+  return false;
+}
+
 /// Stops one task whose reserved capacity is free now.
 void Cell::Evacuate(Runner* runner, Instant now) {
   if (!HasAuthority(now)) return;
@@ -198,15 +209,7 @@
     if (run == runner->runs.end() || run->second.phase != RunPhase::kRunning) continue;
     const Runner* holder = FindRunner(reservation.runner);
     if (!holder->IsOpen(now) || !FreeForTask(*holder, task).Holds(reservation.load)) continue;
-    // The ticket must outlast the stop, or the task would wait for another one.
-    JobEntry* entry = FindJob(task.job);
-    const auto obstacle = entry == nullptr || IsFinal(entry->job.state())
-                              ? std::nullopt
-                              : FindObstacle(*entry, *holder, task, now + options_.stop_grace);
-    if (obstacle == NoRunnerReason::kNoTicket) {
-      RequestAdvice(entry, task.occurrence, task.step, *obstacle, now);
-      continue;
-    }
+    if (!HasTicketForMove(task, *holder, now)) continue;
     if (!MayStop(*runner, task, StopScope::kOneTask, now)) continue;
     LogDecision("evacuate", {{"job", std::string(task.job.text())},
                              {"task", task.ToString()},
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -71,7 +71,7 @@
 
   /// `routes` must outlive the host. Must be called before `Start`.
   void SetRoutes(const RouteTable* routes) { routes_ = routes; }
-  /// The routes have changed.
+  /// Called when the routes have changed.
   void ApplyRoutes() {
     if (cell_ == nullptr || routes_ == nullptr) return;
     cell_->ApplyRoutes(routes_->routes(), clock_->Now());
--- a/jobs/queue_address.h
+++ b/jobs/queue_address.h
@@ -14,12 +14,12 @@
 /// Host and path under which callers reach a queue. Its name, policy and service may change.
 struct QueueAddress {
   std::string host;  ///< As `CanonicalHost` returns it.
-  std::string
-      path_prefix;  ///< What precedes a job's id in a path; empty if the address is unknown.
+  /// What precedes a job's id in a path. Empty if the address is unknown.
+  std::string path_prefix;
 
   auto operator<=>(const QueueAddress&) const = default;
 
-  /// Jobs that were stored by versions before issue 43 have no address.
+  /// Whether the address is known. Earlier versions stored jobs without it.
   bool known() const { return !path_prefix.empty(); }
 
   /// Whether this and `other` may be the address of the same queue.
--- a/jobs/stored_progress.cc
+++ b/jobs/stored_progress.cc
@@ -103,7 +103,7 @@
   }
 };
 
-/// The form of a job that versions before issue 43 stored.
+/// The form of a job that earlier versions stored, without the address of its queue.
 struct UnaddressedJobRecord {
   JobSpec spec;
   QueuePolicy policy;
--- a/tests/cells/cell_queue_address_test.cc
+++ b/tests/cells/cell_queue_address_test.cc
@@ -19,7 +19,7 @@
 const QueueAddress kQueue{"h", "/queue/"};
 const QueueAddress kOther{"h", "/other/"};
 
-/// A job as versions before issue 43 stored it.
+/// A job as earlier versions stored it.
 struct UnaddressedJob {
   JobSpec spec;
   QueuePolicy policy;
@@ -31,7 +31,7 @@
   }
 };
 
-/// A cancelled id as versions before issue 43 stored it.
+/// A cancelled id as earlier versions stored it.
 struct UnaddressedCancelledId {
   std::string queue_name;
   std::string service;
@@ -115,7 +115,7 @@
   CHECK(cell_->Show(*JobId::Parse(kId), now_, kQueue).state == JobState::kCancelled);
 }
 
-/// The store was written by a version before issue 43.
+/// The store was written by an earlier version.
 class UnaddressedStoreTest : protected CellQueueAddressTest {
  protected:
   UnaddressedStoreTest() {
--- a/tests/platform/caller_api_test.cc
+++ b/tests/platform/caller_api_test.cc
@@ -354,7 +354,7 @@
   CHECK(StoredJobs() == 1);
 }
 
-/// The store holds a job that a version before issue 43 accepted, without the address of its queue.
+/// The store holds a job that an earlier version accepted, without the address of its queue.
 class UnaddressedJobTest : protected RenamedQueueTest {
  protected:
   UnaddressedJobTest() {
