tests: queues_test repeats a request that is refused for now

Trace from its logs: all instances had just started anew; the survey of instance1 lacked the owner of cell 2, which had not confirmed the configuration yet (queue_survey missing_cells=2, five times in 125 ms), and the call ended with verdict=outdated 0.14 s after the configuration was read. That is the refusal for now that docs/DESIGN.md names, and callers repeat it; the test asked for 200 at the first try. It repeats a request while it is answered 503, for 15 s at most; every other answer is checked as before. results_test counts starts from before the cut, because a start may have been repeated by then.

--- a/tests/process/queues_test.py
+++ b/tests/process/queues_test.py
@@ -27,18 +27,29 @@
                f"version {fleet.version} read")
 
 
+def call(fleet, method, queue, job, entry, body=None):
+    """Repeats a request while it is refused for now, as callers do: just after a start, instances
+    and owners may not have the same configuration yet. Returns the code and the body."""
+    answers = []
+
+    def is_answered():
+        answers.append(fleet.call(method, queue, job, body, instance=entry))
+        return answers[-1][0] != 503
+    wait_until(is_answered, WAIT_SECONDS, f"{entry.name} answers {method} of {job} at {queue}")
+    return answers[-1]
+
+
 def check_known(fleet, queue, job, spec):
     """Requires that every instance finds the completed job, and that its repeated request makes no
     second one."""
     expected = starts(fleet)
     for entry in fleet.entries.values():
-        wait_until(lambda entry=entry: fleet.call("GET", queue, job, instance=entry)[0] != 503,
-                   WAIT_SECONDS, f"{entry.name} answers for {queue}")
-        answer = fleet.call("GET", queue, job, instance=entry)
+        answer = call(fleet, "GET", queue, job, entry)
         assert answer == (200, {"State": "completed"}), (entry.name, answer)
-        code, _ = fleet.call("POST", queue, job, json.dumps(spec), instance=entry)
-        assert code == 200, (entry.name, code)
-    assert fleet.call("DELETE", queue, job)[0] == 200
+        answer = call(fleet, "POST", queue, job, entry, json.dumps(spec))
+        assert answer[0] == 200, (entry.name, answer)
+        answer = call(fleet, "DELETE", queue, job, entry)
+        assert answer[0] == 200, (entry.name, answer)
     ledger = fleet.ledger()
     assert starts(fleet) == expected and not ledger["after_done"], ledger
 
@@ -78,8 +89,9 @@
                     "scans": {"Service": "alpha", "Name": "letters"}})
     for queue, job in jobs.items():
         check_known(fleet, queue, job, spec)
-    assert fleet.call("GET", "letters", jobs["scans"])[0] == 410
-    assert fleet.call("GET", "scans", jobs["letters"])[0] == 410
+    entry = next(iter(fleet.entries.values()))
+    assert call(fleet, "GET", "letters", jobs["scans"], entry)[0] == 410
+    assert call(fleet, "GET", "scans", jobs["letters"], entry)[0] == 410
 
 
 if __name__ == "__main__":
--- a/tests/process/results_test.py
+++ b/tests/process/results_test.py
@@ -20,9 +20,13 @@
         "Steps": [{"Count": 2, "Cpu": 5000, "MemMb": 64, "EstimateMs": 3000, "Gang": True}]}
 
 
-def runners_of(fleet, owner, job):
-    """Returns the runners on which the tasks of a job were started, by the owner's log."""
-    return re.findall(rf"event=start job={job} .*?runner=(\S+)", fleet.entries[owner].log())
+def last_runners_of(fleet, owner, job):
+    """Returns the runners of the last two starts of a job's tasks, by the owner's log."""
+    return re.findall(rf"event=start job={job} .*?runner=(\S+)", fleet.entries[owner].log())[-2:]
+
+
+def starts(fleet):
+    return {name: task["starts"] for name, task in fleet.ledger()["tasks"].items()}
 
 
 def test_gang_that_ended_while_its_owner_had_no_store_is_not_started_again(fleet):
@@ -34,8 +38,9 @@
     wait_until(lambda: sum(task["running"] for task in fleet.ledger()["tasks"].values()) == 2,
                WAIT_SECONDS, "the gang runs")
     owner = fleet.owner_of(job)
-    first, second = runners_of(fleet, owner, job)
+    first, second = last_runners_of(fleet, owner, job)
     assert first != second, first
+    starts_before = starts(fleet)
     fleet.gates[owner].close()
     time.sleep(0.2)
     cut_at = time.monotonic()
@@ -59,7 +64,7 @@
     time.sleep(1)
     ledger = fleet.ledger()
     assert not ledger["after_done"], ledger
-    assert all(task["starts"] == 1 for task in ledger["tasks"].values()), ledger
+    assert starts(fleet) == starts_before, ledger
 
 
 if __name__ == "__main__":
