--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -395,6 +395,7 @@
   AdvanceRunners(time);
   RemoveExpiredJobs(time);
   RemoveExpiredCancelledIds(time.now);
+  RemoveExpiredStrayLeases(time.now);
   DropExpiredCapacityReservations(time.now);
   Schedule(time);
   if (commits_.StallDuration(time.now) > options_.commit_stall_timeout) {
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -30,6 +30,7 @@
 #include "cells/lease_limit_records.h"
 #include "cells/role_term.h"
 #include "cells/runner.h"
+#include "cells/stray_leases.h"
 #include "cells/term_watch.h"
 #include "cells/unreconciled_runners.h"
 #include "jobs/job_progress.h"
@@ -304,6 +305,7 @@
   void RestoreFinalJobs(CellTime time);
   void RestoreRunnerRecord(const std::string& key, const std::string& value, CellTime time);
   void RestoreRunner(const RunnerListing& listing, CellTime time);
+  void RestoreStrayLease(const std::string& key, const std::string& value, CellTime time);
   void RestoreHandover(const std::string& value, const TermWatch& watch, CellTime time);
   bool IsUnresponsive(const Runner& runner, Instant now) const;
   std::int64_t RemainingLeaseMs(const Runner& runner, Instant now) const;
@@ -320,6 +322,10 @@
                                  Instant now);
   void ForbidUnacknowledgedStarts(Runner* runner, Instant now);
   void LoseRunner(RunnerKey key, std::string_view reason, CellTime time);
+  void RecordStrayLease(const Runner& runner, Instant now);
+  void LimitStrayLease(Runner* runner, Instant now);
+  void StoreStrayLease(const std::string& runner_id, Instant now);
+  void RemoveExpiredStrayLeases(Instant now);
   void StoreRunnerRecords();
   void AdvanceRunners(CellTime time);
   void AdvanceStops(Runner* runner, CellTime time);
@@ -450,6 +456,7 @@
   bool unsplit_registry_present_ = false;  ///< The store holds the record of an earlier version.
   std::unordered_map<std::string, std::vector<UnacknowledgedStart>>
       unacknowledged_starts_;  ///< By runner id.
+  StrayLeases stray_leases_;
   UnreconciledRunners unreconciled_;
   RunnerKey last_key_ = kNoRunner;
   bool schedule_requested_ = false;
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -46,12 +46,15 @@
     // The runner now refuses commands to an earlier incarnation, which may have extended its lease.
     runner->lease_end =
         std::min(runner->lease_end, time.now + options_.MaxStrayLeaseAfterContact());
+    LimitStrayLease(runner, time.now);
     LogDecision("claim", {{"runner", runner->listing.id},
                           {"cell", Concat(number_)},
                           {"token", Concat(token_)},
                           {"running", Concat(report.running.size())},
                           {"ended", Concat(report.results.size())},
-                          {"more", report.more_results ? "yes" : "no"}});
+                          {"more", report.more_results ? "yes" : "no"},
+                          {"born", Concat(runner->listing.started_at.count())},
+                          {"lease_left_ms", Concat(RemainingLeaseMs(*runner, time.now))}});
     StoreRunnerRecords();
   }
   if (!runner->more_results) MarkReconciled(runner->key, time.now);
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -56,6 +56,9 @@
     if (record.value && record.key.starts_with(kJobPrefix)) {
       RestoreJob(record.key, *record.value, time);
     }
+    if (record.value && record.key.front() == kStrayLeasePrefix) {
+      RestoreStrayLease(record.key, *record.value, time);
+    }
   }
   for (const StoreRecord& record : records) {
     if (!record.value) continue;
@@ -76,6 +79,12 @@
   for (const StoreRecord& record : records) {
     if (record.value && record.key == kHandoverKey) RestoreHandover(*record.value, watch, time);
   }
+  // The limits in a handover record do not include these leases.
+  for (auto& [key, runner] : runners_) {
+    const Instant end = stray_leases_.EndOn(runner.listing);
+    runner.predecessor_lease_end = std::max(runner.predecessor_lease_end, end);
+    runner.lease_end = std::max(runner.lease_end, end);
+  }
   RerankAllJobs();
   schedule_requested_ = true;
   LogDecision("cell_restored", {{"cell", Concat(number_)},
@@ -163,9 +172,15 @@
   runner->listed = false;
   runner->predecessor_lease_end = time.now + options_.max_lease_after_renewal;
   runner->lease_end = runner->predecessor_lease_end;
+  runner->deadline_sent_at = time.now + options_.authority;
   unreconciled_.Add(runner->key, listing.service);
 }
 
+void Cell::RestoreStrayLease(const std::string& key, const std::string& value, CellTime time) {
+  const absl::Status status = stray_leases_.Restore(key.substr(1), value, time.now);
+  if (!status.ok()) LogUnreadable(number_, key, MessageOf(status));
+}
+
 void Cell::PrepareHandover(std::chrono::milliseconds role_wait, CellTime time) {
   authority_until_ = Instant{};
   HandoverRecord record;
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -135,6 +135,7 @@
     if (!run.listed) RecordUnacknowledgedStart(runner->listing.id, task, run.run, time.now);
     FreeTask(runner, task, reason, time);
   }
+  RecordStrayLease(*runner, time.now);
   const auto by_id = key_by_id_.find(runner->listing.id);
   if (by_id != key_by_id_.end() && by_id->second == key) key_by_id_.erase(by_id);
   MarkReconciled(key, time.now);
@@ -144,6 +145,34 @@
   schedule_requested_ = true;
 }
 
+/// Records that commands to this incarnation, which is lost, may grant leases on later ones.
+void Cell::RecordStrayLease(const Runner& runner, Instant now) {
+  const Instant end = runner.deadline_sent_at + options_.MaxStrayLease();
+  if (runner.deadline_sent_at == Instant{} || end <= now) return;
+  stray_leases_.Add(runner.listing, end);
+  StoreStrayLease(runner.listing.id, now);
+}
+
+/// Takes leases by commands to earlier incarnations into account. The runner refuses such commands
+/// now that it has responded.
+void Cell::LimitStrayLease(Runner* runner, Instant now) {
+  const Instant end =
+      stray_leases_.Limit(runner->listing, now + options_.MaxStrayLeaseAfterContact());
+  if (end <= now) return;
+  runner->lease_end = std::max(runner->lease_end, end);
+  StoreStrayLease(runner->listing.id, now);
+}
+
+void Cell::StoreStrayLease(const std::string& runner_id, Instant now) {
+  commits_.Put(StrayLeaseKey(runner_id), stray_leases_.Encoded(runner_id, now));
+}
+
+void Cell::RemoveExpiredStrayLeases(Instant now) {
+  for (const std::string& runner_id : stray_leases_.TakeExpired(now)) {
+    commits_.Put(StrayLeaseKey(runner_id), std::nullopt);
+  }
+}
+
 /// Marks a runner of a predecessor as reconciled. The last one of a service unblocks the jobs that
 /// the predecessor may have started there.
 void Cell::MarkReconciled(RunnerKey key, Instant now) {
@@ -246,7 +275,7 @@
       HasAuthority(time.now)) {
     poll.lease = std::min(runner->EstimatedClock(time.now) + options_.lease,
                           runner->LatestDeadline(LeaseLimit(), options_));
-    runner->GrantLease(*poll.lease, options_);
+    runner->GrantLease(*poll.lease, options_, time.now);
   }
   if (runner->claimed && runner->failed_polls == 0 && !runner->runs.empty() &&
       !runner->more_results) {
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -373,7 +373,7 @@
     const std::string* ticket = admission->TicketFor(runner->key, time.now);
     if (ticket != nullptr) command.ticket = *ticket;
   }
-  runner->GrantLease(command.deadline, options_);
+  runner->GrantLease(command.deadline, options_, time.now);
   runner->next_poll_at = std::min(runner->next_poll_at, time.now + options_.min_poll_interval);
   entry->nothing_started_since = time.now;
   ++counters_.starts;
--- a/cells/record_keys.h
+++ b/cells/record_keys.h
@@ -19,6 +19,10 @@
 /// The list of these runners in one record; written by earlier versions.
 inline constexpr std::string_view kRunnerRegistryKey = "roster";
 
+/// How long leases by commands to earlier incarnations of a runner may last; see `StrayLeases`. The
+/// keys are lower than those of the runner records, which rely on these records.
+inline constexpr char kStrayLeasePrefix = 'L';
+
 /// How long leases on runners may still last. An owner that hands the cell over in an orderly way
 /// writes it for all runners; any other owner writes it for the runners that are unresponsive.
 inline constexpr std::string_view kHandoverKey = "handover";
@@ -35,6 +39,7 @@
 }
 inline std::string CancelledIdKey(const JobId& id) { return Concat("x", id.text()); }
 inline std::string UnslicedProgressKey(const JobId& id) { return Concat("p", id.text()); }
+inline std::string StrayLeaseKey(const std::string& runner_id) { return Concat("L", runner_id); }
 inline std::string RunnerRecordKey(const std::string& runner_id) { return Concat("R", runner_id); }
 
 }  // namespace wigeonlane
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -60,6 +60,8 @@
   Instant clock_read_at{};          ///< When that report arrived.
   Instant predecessor_lease_end{};  ///< Latest end of leases that predecessors granted.
   Instant lease_end{};  ///< No run is left on the runner after this unless a new lease is granted.
+  /// When this owner, or a predecessor, may last have sent a command with a deadline.
+  Instant deadline_sent_at{};
   bool recorded_unresponsive = false;  ///< A predecessor recorded it as unresponsive.
   /// According to that record, no owner with this token or a later one granted a lease here; 0 if
   /// one may have.
@@ -117,8 +119,9 @@
     return clock + std::chrono::floor<RunnerClock>(left * options.min_clock_rate);
   }
 
-  /// Records a lease that ends at `deadline` on the runner's clock.
-  void GrantLease(RunnerClock deadline, const CellOptions& options) {
+  /// Records that a command is sent now that grants a lease until `deadline` on the runner's clock.
+  void GrantLease(RunnerClock deadline, const CellOptions& options, Instant now) {
+    deadline_sent_at = std::max(deadline_sent_at, now);
     const auto longest =
         std::chrono::duration<double, std::milli>(deadline - clock) / options.min_clock_rate;
     const Instant end =
