--- a/core/http_client.h
+++ b/core/http_client.h
@@ -3,6 +3,7 @@
 #define WIGEONLANE_CORE_HTTP_CLIENT_H_
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -24,6 +25,8 @@
 struct HttpExchange {
   absl::StatusOr<HttpAnswer> answer = absl::UnknownError("not sent");
   Execution execution = Execution::kNotRun;
+  /// Identifies the connection among those of an `AsyncHttpClient`; 0 if no response arrived.
+  std::uint64_t connection = 0;
 };
 
 /// One keep-alive connection. Thread-safe: concurrent requests wait for each other.
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -31,6 +31,7 @@
 /// A request may spend 1/kQueueTimeDivisor of its timeout waiting for a connection.
 constexpr int kQueueTimeDivisor = 2;
 constexpr std::string_view kQueueTimeoutMessage = "timed out waiting for a connection";
+constexpr std::string_view kConnectionGoneMessage = "the connection to the intended peer is closed";
 
 std::string FormatRequest(const HttpRequest& request, const Endpoint& server) {
   std::string text = Concat(request.method, " ", request.target, " HTTP/1.1\r\nHost: ",
@@ -75,6 +76,7 @@
   }
 
   std::string bytes;
+  std::optional<ConnectionLabel> label;  ///< Of the connection that must carry the request.
   HttpCallback callback;
   const Instant expires_at;
   const Instant queue_deadline;
@@ -89,10 +91,13 @@
 /// One connection, which carries at most one exchange at a time.
 class AsyncHttpClient::Connection : public std::enable_shared_from_this<Connection> {
  public:
-  explicit Connection(AsyncHttpClient* client) : client_(client), socket_(*client->io_) {}
+  Connection(AsyncHttpClient* client, std::uint64_t number)
+      : number(number), client_(client), socket_(*client->io_) {}
+
+  const std::uint64_t number;
+  std::optional<ConnectionLabel> label;
 
   bool idle() const { return exchange_ == nullptr; }
-  bool has_received_response() const { return has_received_response_; }
 
   void StartExchange(std::shared_ptr<Exchange> exchange) {
     exchange_ = std::move(exchange);
@@ -186,11 +191,11 @@
   }
 
   void Complete() {
-    has_received_response_ = true;
     HttpExchange outcome;
     auto message = parser_->release();
     outcome.answer = HttpAnswer{static_cast<int>(message.result_int()), std::move(message.body())};
     outcome.execution = Execution::kRan;
+    outcome.connection = number;
     const bool keep_alive = message.keep_alive();
     auto exchange = std::exchange(exchange_, nullptr);
     exchange->response_received = true;
@@ -215,7 +220,6 @@
   std::shared_ptr<Exchange> exchange_;
   std::string buffer_;
   bool reading_ = false;
-  bool has_received_response_ = false;
   std::optional<http::response_parser<http::string_body>> parser_;
 };
 
@@ -229,41 +233,81 @@
 
 void AsyncHttpClient::Send(const HttpRequest& request, std::chrono::milliseconds timeout,
                            HttpCallback callback) {
+  Enqueue(std::nullopt, request, timeout, std::move(callback));
+}
+
+void AsyncHttpClient::SendOver(ConnectionLabel label, const HttpRequest& request,
+                               std::chrono::milliseconds timeout, HttpCallback callback) {
+  Enqueue(label, request, timeout, std::move(callback));
+}
+
+void AsyncHttpClient::Enqueue(std::optional<ConnectionLabel> label, const HttpRequest& request,
+                              std::chrono::milliseconds timeout, HttpCallback callback) {
   auto exchange = std::make_shared<Exchange>(io_, timeout, std::move(callback));
   exchange->bytes = FormatRequest(request, server_);
+  exchange->label = label;
   ExpireAfter(timeout / kQueueTimeDivisor, exchange);
   queue_.push_back(std::move(exchange));
   Dispatch();
 }
 
-bool AsyncHttpClient::connected() const {
+void AsyncHttpClient::Label(std::uint64_t connection, ConnectionLabel label) {
+  for (const auto& candidate : connections_) {
+    if (candidate->number == connection) candidate->label = label;
+  }
+}
+
+bool AsyncHttpClient::HasLabelled(ConnectionLabel label) const {
   return std::any_of(connections_.begin(), connections_.end(),
-                     [](const auto& connection) { return connection->has_received_response(); });
+                     [&](const auto& connection) { return connection->label == label; });
+}
+
+bool AsyncHttpClient::IsReadyFor(ConnectionLabel label) const {
+  if (FindIdle(label) != nullptr) return true;
+  return HasLabelled(label) && connections_.size() >= max_connections_;
+}
+
+std::shared_ptr<AsyncHttpClient::Connection> AsyncHttpClient::FindIdle(
+    std::optional<ConnectionLabel> label) const {
+  const auto found =
+      std::find_if(connections_.begin(), connections_.end(), [&](const auto& connection) {
+        return connection->idle() && (!label || connection->label == label);
+      });
+  return found == connections_.end() ? nullptr : *found;
 }
 
 void AsyncHttpClient::Dispatch() {
-  for (auto next = FirstUnexpired(); next != queue_.end(); next = FirstUnexpired()) {
-    auto idle = std::find_if(connections_.begin(), connections_.end(),
-                             [](const auto& connection) { return connection->idle(); });
-    if (idle == connections_.end()) {
-      if (connections_.size() >= max_connections_) return;
-      connections_.push_back(std::make_shared<Connection>(this));
-      idle = std::prev(connections_.end());
+  for (auto next = FirstWritable(); next != queue_.end(); next = FirstWritable()) {
+    auto connection = FindIdle((*next)->label);
+    if (connection == nullptr) {
+      connection = std::make_shared<Connection>(this, ++last_connection_);
+      connections_.push_back(connection);
     }
     auto exchange = std::move(*next);
     queue_.erase(next);
     ExpireAfter(exchange->expires_at - BootClock().Now(), exchange);
-    (*idle)->StartExchange(std::move(exchange));
+    connection->StartExchange(std::move(exchange));
   }
 }
 
-std::deque<std::shared_ptr<AsyncHttpClient::Exchange>>::iterator AsyncHttpClient::FirstUnexpired() {
-  return std::find_if(queue_.begin(), queue_.end(), [this](const auto& exchange) {
-    if (!exchange->queue_time_expired()) return true;
-    // Fails the exchange from its timer, since no callback may run inside `Send`.
-    ExpireAfter(Duration::zero(), exchange);
-    return false;
-  });
+std::deque<std::shared_ptr<AsyncHttpClient::Exchange>>::iterator AsyncHttpClient::FirstWritable() {
+  for (auto next = queue_.begin(); next != queue_.end(); ++next) {
+    const auto& exchange = *next;
+    if (exchange->queue_time_expired() || IsPeerGone(*exchange)) {
+      // Fails the exchange from its timer, since no callback may run inside `Send`.
+      ExpireAfter(Duration::zero(), exchange);
+      continue;
+    }
+    if (FindIdle(exchange->label) != nullptr) return next;
+    if (exchange->label) continue;
+    // Without an idle connection, no request behind this one can be written either.
+    return connections_.size() < max_connections_ ? next : queue_.end();
+  }
+  return queue_.end();
+}
+
+bool AsyncHttpClient::IsPeerGone(const Exchange& exchange) const {
+  return exchange.label && !HasLabelled(*exchange.label);
 }
 
 void AsyncHttpClient::ExpireAfter(Duration time, const std::shared_ptr<Exchange>& exchange) {
@@ -277,11 +321,14 @@
 void AsyncHttpClient::Expire(const std::shared_ptr<Exchange>& exchange) {
   if (exchange->connection != nullptr) return exchange->connection->Break("timed out");
   std::erase(queue_, exchange);
-  exchange->Fail(kQueueTimeoutMessage);
+  exchange->Fail(exchange->queue_time_expired() ? kQueueTimeoutMessage : kConnectionGoneMessage);
 }
 
 void AsyncHttpClient::Drop(const Connection* connection) {
   std::erase_if(connections_, [&](const auto& candidate) { return candidate.get() == connection; });
+  for (const auto& exchange : queue_) {
+    if (IsPeerGone(*exchange)) ExpireAfter(Duration::zero(), exchange);
+  }
 }
 
 }  // namespace wigeonlane
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -5,8 +5,10 @@
 #include <asio/io_context.hpp>
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,9 @@
 
 namespace wigeonlane {
 
+/// What the user of a client knows of the peer of one connection.
+using ConnectionLabel = std::int64_t;
+
 /// Sends requests over at most `max_connections` connections, one request at a time on each.
 /// Not thread-safe; callbacks run on the io_context, never inside `Send`. Destroying the client
 /// abandons all exchanges without calling their callbacks.
@@ -34,8 +39,21 @@
   /// also when the process was suspended in between.
   void Send(const HttpRequest& request, std::chrono::milliseconds timeout, HttpCallback callback);
 
-  /// Whether a connection is open on which a response has been received.
-  bool connected() const;
+  /// The same, but only over a connection with this label. Fails with kNotRun if there is none,
+  /// also when the last one breaks before the request is written.
+  void SendOver(ConnectionLabel label, const HttpRequest& request,
+                std::chrono::milliseconds timeout, HttpCallback callback);
+
+  /// Labels the connection that carried an exchange, by `HttpExchange::connection`; has no effect
+  /// once it is closed. A label replaces an earlier one.
+  void Label(std::uint64_t connection, ConnectionLabel label);
+
+  /// Whether a connection with this label is open.
+  bool HasLabelled(ConnectionLabel label) const;
+
+  /// Whether `SendOver` writes the request at once, or can only wait because no further connection
+  /// may be opened.
+  bool IsReadyFor(ConnectionLabel label) const;
 
   const Endpoint& server() const { return server_; }
 
@@ -43,10 +61,17 @@
   struct Exchange;
   class Connection;
 
+  /// Sends over any connection, or only over those with the label.
+  void Enqueue(std::optional<ConnectionLabel> label, const HttpRequest& request,
+               std::chrono::milliseconds timeout, HttpCallback callback);
   void Dispatch();
-  /// Returns the first queued request whose queue time has not expired. Schedules the failure of
-  /// the requests before it.
-  std::deque<std::shared_ptr<Exchange>>::iterator FirstUnexpired();
+  /// Returns the first queued request that can be written now. Schedules the failure of those whose
+  /// queue time has expired or whose connection is gone.
+  std::deque<std::shared_ptr<Exchange>>::iterator FirstWritable();
+  /// Whether the request may only go over connections that are all closed.
+  bool IsPeerGone(const Exchange& exchange) const;
+  /// Returns an idle connection that may carry the request, or null.
+  std::shared_ptr<Connection> FindIdle(std::optional<ConnectionLabel> label) const;
   void ExpireAfter(Duration time, const std::shared_ptr<Exchange>& exchange);
   void Expire(const std::shared_ptr<Exchange>& exchange);
   void Drop(const Connection* connection);
@@ -55,6 +80,7 @@
   const Endpoint server_;
   const std::size_t max_connections_;
   std::vector<std::shared_ptr<Connection>> connections_;
+  std::uint64_t last_connection_ = 0;  ///< Number of the connection opened last.
   std::deque<std::shared_ptr<Exchange>> queue_;
 };
 
--- a/tests/net/net_test.cc
+++ b/tests/net/net_test.cc
@@ -20,6 +20,9 @@
 
 class NetTest {
  protected:
+  static constexpr ConnectionLabel kLabel = 5;
+  static constexpr std::uint64_t kFirstConnection = 1;
+
   /// Runs the event loop until `result` is set.
   template <typename T>
   T RunUntil(const std::optional<T>& result) {
@@ -50,10 +53,14 @@
       [] { return HttpServerLimits(); });
   REQUIRE(server.Listen(at_).ok());
   AsyncHttpClient client(&io_, at_, 1);
-  CHECK_FALSE(client.connected());
-  CHECK(Fetch(&client, seconds(5), "a").answer->body == "a!");
-  CHECK(client.connected());
-  CHECK(Fetch(&client, seconds(5), "b").answer->body == "b!");
+  CHECK_FALSE(client.HasLabelled(kLabel));
+  const HttpExchange first = Fetch(&client, seconds(5), "a");
+  CHECK(first.answer->body == "a!");
+  client.Label(first.connection, kLabel);
+  CHECK(client.HasLabelled(kLabel));
+  const HttpExchange second = Fetch(&client, seconds(5), "b");
+  CHECK(second.answer->body == "b!");
+  CHECK(second.connection == first.connection);
   CHECK(served == 2);
 }
 
@@ -72,7 +79,8 @@
   const HttpExchange exchange = Fetch(&client, milliseconds(100), "a");
   CHECK_FALSE(exchange.answer.ok());
   CHECK(exchange.execution == Execution::kMayHaveRun);
-  CHECK_FALSE(client.connected());
+  client.Label(kFirstConnection, kLabel);
+  CHECK_FALSE(client.HasLabelled(kLabel));  // It is closed.
 }
 
 TEST_CASE_METHOD(NetTest, "HttpServer_BodyPastTheLimit_IsRefusedAndNotServed") {
--- /dev/null
+++ b/tests/platform/runner_gateway_test.cc
@@ -0,0 +1,149 @@
+/// Commands to a runner that restarts at its address between two of them.
+#include "platform/runner_gateway.h"
+
+#include <algorithm>
+#include <asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "net/async_http_server.h"
+#include "standin/task_runner.h"
+#include "tests/support/free_endpoint.h"
+
+namespace wigeonlane {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+class RunnerGatewayTest {
+ protected:
+  static constexpr FenceToken kFence = 7;
+  static constexpr seconds kTimeout{10};
+
+  RunnerGatewayTest() {
+    listing_.id = "runner-0";
+    listing_.endpoint = FreeEndpoint();
+    listing_.started_at = milliseconds(1'000);
+    StartServer(listing_.started_at);
+  }
+
+  /// Ends the incarnation that listens, if there is any, and starts the next one. Its connections
+  /// are closed, which the gateway notices only when the event loop runs.
+  void StartServer(milliseconds started_at) {
+    server_.reset();
+    served_.clear();
+    runner_.StartIncarnation(clock_.Now(), started_at);
+    server_ = std::make_unique<AsyncHttpServer>(
+        &io_,
+        [this](const HttpRequest& request, const HttpReply& reply) {
+          served_.push_back(request);
+          reply(runner_.Serve(request.target, request.body, clock_.Now()));
+        },
+        [] { return HttpServerLimits(); });
+    REQUIRE(server_->Listen(listing_.endpoint).ok());
+  }
+
+  void Start(RunNumber run) {
+    StartCommand command;
+    command.task = *TaskId::Parse("00000000000000a1.0.0." + std::to_string(run));
+    command.run = run;
+    command.deadline = RunnerClock(3'600'000);
+    command.payload = R"({"ms":-1})";
+    gateway_.Start(listing_, kFence, command, kTimeout,
+                   [this](CommandOutcome outcome) { outcomes_.push_back(outcome.status); });
+  }
+
+  void Poll(std::optional<RunnerClock> lease, std::uint64_t forget_up_to) {
+    PollRequest poll;
+    poll.lease = lease;
+    poll.forget_up_to = forget_up_to;
+    gateway_.Poll(listing_, kFence, poll, kTimeout,
+                  [this](CommandStatus status, const std::optional<RunnerReport>& /*report*/) {
+                    outcomes_.push_back(status);
+                  });
+  }
+
+  void RunUntilOutcomes(std::size_t count) {
+    io_.restart();
+    while (outcomes_.size() < count) REQUIRE(io_.run_one_for(kTimeout) > 0);
+  }
+
+  /// Number of calls that the present incarnation served whose body contains `text`.
+  std::size_t ServedWith(std::string_view text) const {
+    return std::count_if(served_.begin(), served_.end(), [&](const HttpRequest& request) {
+      return request.body.find(text) != std::string::npos;
+    });
+  }
+
+  asio::io_context io_;
+  SteadyClock clock_;
+  TaskLedger ledger_;
+  TaskRunner runner_{&ledger_};
+  RunnerListing listing_;
+  std::vector<HttpRequest> served_;  ///< By the present incarnation.
+  std::unique_ptr<AsyncHttpServer> server_;
+  RunnerGateway gateway_{&io_, std::nullopt};
+  std::vector<CommandStatus> outcomes_;
+};
+
+// Guards against TWICE (issue 45): of a burst of starts, those beyond the first one went over new
+// connections, to an incarnation that they were not meant for.
+TEST_CASE_METHOD(RunnerGatewayTest, "Start_RunnerHasRestarted_BurstStartsNothing") {
+  constexpr std::size_t kBurst = 7;
+  Start(1);
+  RunUntilOutcomes(1);
+  REQUIRE(outcomes_.back() == CommandStatus::kDone);
+  StartServer(milliseconds(2'000));
+  for (RunNumber run = 2; run < 2 + kBurst; ++run) Start(run);
+  RunUntilOutcomes(1 + kBurst);
+  CHECK(ServedWith("DeadlineMs") == 0);
+}
+
+// Guards against the same for starts that wait for a connection: it breaks, and they are sent over
+// the next one with the next call.
+TEST_CASE_METHOD(RunnerGatewayTest, "Start_ConnectionBreaksWhileItWaits_IsNotSentOverANewOne") {
+  constexpr std::size_t kBurst = 7;
+  Start(1);
+  RunUntilOutcomes(1);
+  for (RunNumber run = 2; run < 2 + kBurst; ++run) Start(run);
+  StartServer(milliseconds(2'000));
+  RunUntilOutcomes(2);
+  gateway_.Stop(listing_, kFence, {kNoRunner, *TaskId::Parse("00000000000000a1.0.0.1"), 1},
+                kTimeout, [this](CommandOutcome outcome) { outcomes_.push_back(outcome.status); });
+  RunUntilOutcomes(2 + kBurst);
+  CHECK(ServedWith("DeadlineMs") == 0);
+}
+
+// Guards against a lease and a lost result: a poll waited for the connection of another one, which
+// broke, and was sent to the next incarnation.
+TEST_CASE_METHOD(RunnerGatewayTest, "Poll_ConnectionBreaksWhileItWaits_GrantsAndForgetsNothing") {
+  Poll({}, 0);
+  RunUntilOutcomes(1);
+  REQUIRE(outcomes_.back() == CommandStatus::kDone);
+  Poll(RunnerClock(3'600'000), 1);
+  Poll(RunnerClock(3'600'000), 1);
+  StartServer(milliseconds(2'000));
+  RunUntilOutcomes(2);
+  Poll({}, 0);
+  RunUntilOutcomes(4);
+  CHECK(ServedWith("DeadlineMs") == 0);
+  CHECK(ServedWith("\"LastSeen\":1") == 0);
+}
+
+// Guards against a runner that gets one start at a time: the check of the incarnation must not keep
+// the starts of a burst from running.
+TEST_CASE_METHOD(RunnerGatewayTest, "Start_Burst_AllAreExecuted") {
+  constexpr std::size_t kBurst = 7;
+  for (RunNumber run = 1; run <= kBurst; ++run) Start(run);
+  RunUntilOutcomes(kBurst);
+  for (RunNumber run = kBurst + 1; run <= 2 * kBurst; ++run) Start(run);
+  RunUntilOutcomes(2 * kBurst);
+  CHECK(std::count(outcomes_.begin(), outcomes_.end(), CommandStatus::kDone) == 2 * kBurst);
+  CHECK(ServedWith("\"Spec\"") == 2 * kBurst);
+}
+
+}  // namespace
+}  // namespace wigeonlane
