--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -311,6 +311,10 @@
     const bool same_incarnation = connections_[{index, i}] == started_at;
     const bool addressed = listed->listing.started_at == started_at;
     const FenceToken fence = owners_[index]->cell->FenceOf(request.runner);
+    if (same_incarnation && request.lease && delayed_polls_ > 0 && delayed_polls_-- > 0) {
+      SendLatePoll(index, i, fence, request);
+      continue;
+    }
     After(milliseconds(1), [=, this] {
       const bool reached =
           runners_[i].listing.started_at == started_at && !IsCut(index, runners_[i]);
@@ -320,6 +324,20 @@
   }
 }
 
+void CellWorld::SendLatePoll(std::size_t index, std::size_t runner, FenceToken fence,
+                             const PollRequest& request) {
+  After(poll_delay_, [=, this] {
+    if (!runners_[runner].alive || IsCut(index, runners_[runner])) return;
+    runners_[runner].Poll(fence, request, now_, &oracle_);
+  });
+  After(kCommandTimeout + request.wait, [=, this] {
+    OnOwner(index, [=, this](Owner* owner) {
+      owner->cell->HandlePollResponse(request, CommandStatus::kNoResponse, {}, Time());
+      Pump(index);
+    });
+  });
+}
+
 /// Responds once the runner has a result to report or the wait is over.
 void CellWorld::AnswerPoll(std::size_t index, const PollRequest& request, const PendingPoll& poll) {
   if (has_gangs_) AdvanceRunners();
@@ -442,6 +460,10 @@
 }
 
 void CellWorld::DelayCommands(std::size_t count) { delayed_commands_ = count; }
+void CellWorld::DelayPolls(std::size_t count, milliseconds delay) {
+  delayed_polls_ = count;
+  poll_delay_ = delay;
+}
 void CellWorld::LoseAppendResponses(std::size_t count) { lost_append_responses_ = count; }
 void CellWorld::DelayAppends(std::size_t count, milliseconds delay) {
   late_appends_ = count;
@@ -468,7 +490,8 @@
 }
 
 void CellWorld::EndFaultsAndCheck() {
-  delayed_commands_ = lost_append_responses_ = delayed_submissions_ = late_appends_ = 0;
+  delayed_commands_ = delayed_polls_ = lost_append_responses_ = delayed_submissions_ =
+      late_appends_ = 0;
   for (SimRunner& runner : runners_) {
     runner.listing.draining = false;
     if (!runner.alive) runner.Restart(now_, &oracle_);
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -80,6 +80,9 @@
   void ReserveRunner(std::size_t which);
   /// The next `count` commands get no response and are executed seconds later.
   void DelayCommands(std::size_t count);
+  /// The next `count` polls that grant a lease get no response and are executed after `delay`, on
+  /// the incarnation of that time.
+  void DelayPolls(std::size_t count, std::chrono::milliseconds delay);
   /// The next `count` appends are stored but get no response in time.
   void LoseAppendResponses(std::size_t count);
   /// The next `count` appends reach the store later by `delay`.
@@ -168,6 +171,9 @@
   void SendStart(std::size_t owner, const StartCommand& command);
   void SendStop(std::size_t owner, const StopCommand& command);
   void SendPoll(std::size_t owner, const PollRequest& request);
+  /// Executes a poll late. The owner gets no response in time.
+  void SendLatePoll(std::size_t owner, std::size_t runner, FenceToken fence,
+                    const PollRequest& request);
   void AnswerPoll(std::size_t owner, const PollRequest& request, const PendingPoll& poll);
   bool IsCut(std::size_t owner, const SimRunner& runner) const;
   std::vector<RunnerListing> Listings() const;
@@ -202,6 +208,8 @@
   std::size_t holder_ = 0;    ///< Index of the owner whose renewals are confirmed.
   TermToken generation_ = 0;  ///< Token of an owner that starts in the present generation.
   std::size_t delayed_commands_ = 0;
+  std::size_t delayed_polls_ = 0;
+  std::chrono::milliseconds poll_delay_{0};
   std::size_t lost_append_responses_ = 0;
   std::size_t late_appends_ = 0;
   std::chrono::milliseconds append_delay_{0};
--- a/tests/cells/sim_runner.h
+++ b/tests/cells/sim_runner.h
@@ -67,14 +67,15 @@
   CommandStatus Start(FenceToken fence, const StartCommand& command, const StepSpec& step,
                       TaskOutcome outcome, bool late, Instant now, JobOracle* oracle) {
     Advance(now, oracle);
-    // Before the first call that was meant for this incarnation, the runner cannot distinguish a
-    // start that was meant for an earlier one. No owner can prevent this, so it is not simulated.
-    if (late && !addressed_) return CommandStatus::kNoResponse;
     if (fence < fence_) return CommandStatus::kFenced;
     fence_ = fence;
     const RunnerClock clock = Clock(now);
     if (command.deadline < clock) return CommandStatus::kTooLate;
     lease_ = std::max(lease_, std::min(command.deadline, clock + kMaxLease));
+    // Before the first call that was meant for this incarnation, the runner cannot distinguish a
+    // start that was meant for an earlier one. No owner can prevent this, so only the lease that it
+    // grants is simulated.
+    if (late && !addressed_) return CommandStatus::kNoResponse;
     const auto running = runs_.find(command.task);
     if (running != runs_.end() && running->second.run == command.run) return CommandStatus::kDone;
     if (running != runs_.end() || command.run <= highest_run_[command.task]) {
