cells: a released machine stays released when its runner restarts (AVAIL)

An owner tells the coordinator that a machine may go down, and its runner crashes and starts again under its id before the order arrives. The owner treated the new incarnation as an ordinary runner: it started a long-running task there and released the machine of another task of the step, so that both went down.

Cause: the release belongs to the machine, but was kept with one incarnation of its runner, as commands to a runner were taken to end with it.

Change: releases are kept by runner id until it is certain whether the machine went down; an incarnation that is added inherits the release. A report that the machine went down ends it.

Before: Release_ReleasedRunnerRestarts_StaysReleased failed for each of three delays.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -241,6 +241,12 @@
     Instant until{};
   };
 
+  /// A machine that was released to go down, whatever happens to its runner meanwhile.
+  struct MachineRelease {
+    Instant reserved_until{};
+    Instant resolved_at{};  ///< See `ReleaseResolvedAt`.
+  };
+
   /// Whether this instance may decide for the cell. No lease may be granted while a predecessor's
   /// record of its leases is stored: if this owner became unresponsive, the next one would rely on
   /// that record.
@@ -354,6 +360,8 @@
   EvacuationState PrepareEvacuation(Runner* runner, Instant now);
   bool HasLongRunningWork(const Runner& runner);
   bool CouldRunUnavailableTask(const Runner& runner, Instant now);
+  void ReleaseMachine(Runner* runner, Instant now);
+  void InheritRelease(Runner* runner, Instant now) const;
   CallResponse CancelReservation(Runner* runner, Instant now);
   void Evacuate(Runner* runner, Instant now);
   Instant ReleaseResolvedAt(Instant now) const;
@@ -457,6 +465,7 @@
   std::unordered_map<std::string, std::vector<UnacknowledgedStart>>
       unacknowledged_starts_;  ///< By runner id.
   StrayLeases stray_leases_;
+  std::map<std::string, MachineRelease> machine_releases_;  ///< By runner id.
   UnreconciledRunners unreconciled_;
   RunnerKey last_key_ = kNoRunner;
   bool schedule_requested_ = false;
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -49,14 +49,29 @@
   }
   runner->reserved_until = time.now + kReservationPeriod;
   if (blocker == Blocker::kNothing) {
-    runner->reserved_until = time.now + kMaxDownDelay;
-    runner->may_go_down_until = ReleaseResolvedAt(time.now);
+    ReleaseMachine(runner, time.now);
     return {CallVerdict::kReady};
   }
   Evacuate(runner, time.now);
   return {CallVerdict::kNotReady};
 }
 
+void Cell::ReleaseMachine(Runner* runner, Instant now) {
+  runner->reserved_until = now + kMaxDownDelay;
+  runner->may_go_down_until = ReleaseResolvedAt(now);
+  std::erase_if(machine_releases_,
+                [&](const auto& release) { return release.second.resolved_at <= now; });
+  machine_releases_[runner->listing.id] = {runner->reserved_until, runner->may_go_down_until};
+}
+
+/// Applies a release of the machine that an earlier incarnation of the runner was given.
+void Cell::InheritRelease(Runner* runner, Instant now) const {
+  const auto found = machine_releases_.find(runner->listing.id);
+  if (found == machine_releases_.end() || found->second.resolved_at <= now) return;
+  runner->reserved_until = found->second.reserved_until;
+  runner->may_go_down_until = found->second.resolved_at;
+}
+
 CallResponse Cell::ReserveForMove(const std::string& runner_id, CellTime time) {
   const auto key = key_by_id_.find(runner_id);
   Runner* runner = key == key_by_id_.end() ? nullptr : FindRunner(key->second);
@@ -138,6 +153,7 @@
 }
 
 void Cell::HandleMachineDown(const std::string& runner_id, CellTime time) {
+  machine_releases_.erase(runner_id);
   const auto key = key_by_id_.find(runner_id);
   if (key != key_by_id_.end()) LoseRunner(key->second, "machine was taken down", time);
 }
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -34,6 +34,7 @@
   runner.next_poll_at = now;
   key_by_id_[listing.id] = key;
   runner.leases_barred = limits_.Contains(listing.id);
+  InheritRelease(&runner, now);
   ForbidUnacknowledgedStarts(&runner, now);
   return &runner;
 }
--- a/tests/cells/cell_released_runner_test.cc
+++ b/tests/cells/cell_released_runner_test.cc
@@ -72,6 +72,21 @@
   CHECK_FALSE(ReleasesSecondWhileFirstIsDown(down_at));
 }
 
+// Guards against AVAIL (issue 45): a released runner restarted under its id before its machine went
+// down. The owner started its task there again and released another runner of the step.
+TEST_CASE_METHOD(CellReleasedRunnerTest, "Release_ReleasedRunnerRestarts_StaysReleased") {
+  REQUIRE(Release(0));
+  ++earlier_incarnations_[RunnerName(0)];
+  running_[RunnerName(0)].clear();
+  ListRunners(2, {1'000, 1'000, 0});
+  const Instant down_at = now_ + GENERATE(kShortDelay, kLongDelay, kMaxDelay);
+  for (; now_ < down_at; AdvanceTime(kRequestInterval)) {
+    CHECK_FALSE(Release(1));
+    CHECK(running_[RunnerName(0)].empty());
+  }
+  CHECK_FALSE(ReleasesSecondWhileFirstIsDown(down_at));
+}
+
 // Guards against two runners of a step being released at the same time, one by an owner that cannot
 // reach the store and one by its successor, which does not know of the first. The successor gets
 // the cell 1 s after the last renewal at the earliest.
