cells: long-running tasks avoid runners that have just restarted (LOST)

A long-running task may be unavailable for 9 s at most, so one that is placed there, and lost at once, would be away for too long.

Change: a lease end further ahead than owners grant themselves outweighs every other property of a runner for long-running tasks. They still start there if there is no other.

Before: LongRunningTask_RunnerHasJustRestarted_PrefersAnotherOne failed (run with a cost of 0). After: cell_stray_lease_test, cell_test, cell_evacuation_test, scheduling_test, cell_takeover_test, cell_takeover_chain_test, cell_unplaceable_work_test, cell_fuzz_test and cell_stray_lease_fuzz_test pass.

--- a/cells/cell.h
+++ b/cells/cell.h
@@ -399,7 +399,7 @@
   std::uint32_t RunsOfStep(const Runner& runner, const TaskId& task) const;
   std::uint32_t ReservationsOfStep(const Runner& runner, const TaskId& task) const;
   double CostOf(const JobEntry& entry, const Runner& runner, const TaskId& id,
-                const std::string& rack) const;
+                const std::string& rack, Instant now) const;
   std::optional<NoRunnerReason> FindObstacle(const JobEntry& entry, const Runner& runner,
                                              const TaskId& id, Instant now) const;
   bool MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id, Instant now) const;
--- a/cells/cell_evacuations.cc
+++ b/cells/cell_evacuations.cc
@@ -181,7 +181,7 @@
       choice.reason = std::max(choice.reason, *obstacle);
       continue;
     }
-    const double cost = CostOf(entry, runner, id, rack);
+    const double cost = CostOf(entry, runner, id, rack, now);
     if (cost >= best_cost) continue;
     best_cost = cost;
     choice.runner = &runner;
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -252,7 +252,7 @@
 
 /// Returns the placement cost of a task on a runner; the runner with the lowest cost is chosen.
 double Cell::CostOf(const JobEntry& entry, const Runner& runner, const TaskId& id,
-                    const std::string& rack) const {
+                    const std::string& rack, Instant now) const {
   const StepSpec& step = entry.job.spec().steps[id.step];
   const std::uint32_t runs_of_step = step.long_running ? RunsOfStep(runner, id) : 0;
   PlacementView view;
@@ -263,6 +263,7 @@
   view.long_running = step.long_running;
   view.hosts_long_running = runner.long_running_runs > 0;
   view.off_rack = !rack.empty() && runner.listing.rack != rack;
+  view.has_long_lease = runner.lease_end > now + options_.max_lease_after_renewal;
   return PlacementCost(view, step.Load());
 }
 
@@ -291,7 +292,7 @@
       choice.reason = std::max(choice.reason, *obstacle);
       return;
     }
-    const double cost = CostOf(entry, runner, id, rack);
+    const double cost = CostOf(entry, runner, id, rack, now);
     if (cost < best_cost) {
       best_cost = cost;
       choice.runner = &runner;
--- a/scheduling/placement.h
+++ b/scheduling/placement.h
@@ -40,6 +40,9 @@
   /// The runner has a long-running task, so its machine cannot change pools.
   bool hosts_long_running = false;
   bool long_running = false;  ///< The task to be placed is long-running.
+  /// If the runner is lost, its runs may last for longer than a long-running task may be
+  /// unavailable.
+  bool has_long_lease = false;
 };
 
 /// Tasks run 1.5 times as long away from their data or the other tasks of their step (RemoteFactor
@@ -55,6 +58,9 @@
 /// Outweighs load and the grouping of long-running tasks, but not the distance from data.
 inline constexpr double kBlocksMaintenanceCost = 1.5;
 
+/// Outweighs all other properties of a runner.
+inline constexpr double kLongLeaseCost = 10.0;
+
 /// Returns the cost of placing `load` on the runner that `view` describes.
 inline double PlacementCost(const PlacementView& view, const Resources& load) {
   Resources used = view.capacity;
@@ -66,6 +72,7 @@
   if (view.far_from_data) cost += kRemoteCost;
   if (view.off_rack) cost += kRemoteCost;
   if (view.blocks_maintenance) cost += kBlocksMaintenanceCost;
+  if (view.long_running && view.has_long_lease) cost += kLongLeaseCost;
   if (!view.hosts_long_running) {
     cost += view.long_running ? kPinMachineCost : kOccupyMovableMachineCost;
   }
--- a/tests/cells/cell_stray_lease_test.cc
+++ b/tests/cells/cell_stray_lease_test.cc
@@ -152,5 +152,43 @@
   CHECK(cell_->FindRunnerById(Restarted())->lease_end <= now_);
 }
 
+/// A long-running task on one of two runners. The other one has just restarted under its id.
+class LongRunningTaskTest : public RestartedRunnerTest {
+ protected:
+  static constexpr const char* kRack = "r1";
+  static constexpr Resources kSmall{1'000, 1'000, 0};
+
+  void RestartOneOf(std::size_t runners) {
+    Begin(runners, kCapacity);
+    AdvanceTime(milliseconds(300));
+    Begin(runners, kCapacity);  // The former owner may have sent commands.
+    AdvanceTime(milliseconds(300));
+    ++earlier_incarnations_[Restarted()];
+    ListRunners(runners, kCapacity);
+    AdvanceTime(milliseconds(100));
+    StepSpec step;
+    step.need = kSmall;
+    step.long_running = true;
+    step.preferred_rack = kRack;
+    Submit(step);
+    AdvanceTime(milliseconds(100));
+    REQUIRE(starts_.size() == 1);
+  }
+};
+
+// Guards against LOST: a long-running task was placed on a runner that had just restarted, beside
+// one on which it would have been unavailable for less long after a loss.
+TEST_CASE_METHOD(LongRunningTaskTest, "LongRunningTask_RunnerHasJustRestarted_PrefersAnotherOne") {
+  rack_of_[Restarted()] = kRack;
+  RestartOneOf(2);
+  CHECK(running_[Restarted()].empty());
+}
+
+// Guards against LOST: a long-running task waited beside the only runner, which had just restarted.
+TEST_CASE_METHOD(LongRunningTaskTest, "LongRunningTask_OnlyRunnerHasJustRestarted_StartsThere") {
+  RestartOneOf(1);
+  CHECK(running_[Restarted()].size() == 1);
+}
+
 }  // namespace
 }  // namespace wigeonlane
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -47,6 +47,7 @@
       listing.id = RunnerName(i);
       const auto label = label_of_.find(listing.id);
       if (label != label_of_.end()) listing.labels = {label->second};
+      listing.rack = rack_of_[listing.id];
       listing.draining = draining_.contains(listing.id);
       const auto service = service_of_.find(listing.id);
       listing.service = service == service_of_.end() ? kService : service->second;
@@ -142,6 +143,7 @@
   std::map<CallNumber, CallResponse> responses_;     ///< To callers, the last one of each call.
   std::map<std::string, std::string> service_of_;    ///< By runner id; `kService` for all others.
   std::map<std::string, std::string> label_of_;      ///< By runner id; no label for all others.
+  std::map<std::string, std::string> rack_of_;       ///< By runner id; no rack for all others.
   std::set<std::string> draining_;                   ///< Runners that are listed as draining.
   std::map<std::string, int> earlier_incarnations_;  ///< Number of earlier incarnations, by id.
   std::set<std::string> unresponsive_;               ///< Runners whose polls fail at once.
