logs: name the incarnation of a runner in the lines of its runs

After a restart under the same id they do not tell which incarnation a start was meant for and which one ran it, so the hypotheses on TWICE cannot be told apart. Change: start, start_answer, run_end, adopt, stop_unwanted and runner_lost have born, the start of the incarnation; runner_lost counts the starts that no report has listed. No logic is changed.

--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -105,6 +105,7 @@
                           {"task", result.task.ToString()},
                           {"run", Concat(result.run)},
                           {"runner", runner->listing.id},
+                          {"born", Concat(runner->listing.started_at.count())},
                           {"how", std::string(RunResultName(result.result))},
                           {"known", task != nullptr ? "yes" : "no"}});
   if (task == nullptr) {
@@ -200,10 +201,12 @@
   }
   run.phase = adopted ? RunPhase::kRunning : RunPhase::kStopping;
   AddRun(runner, reported.task, run);
-  LogDecision(adopted ? "adopt" : "stop_unwanted", {{"job", std::string(reported.task.job.text())},
-                                                    {"task", reported.task.ToString()},
-                                                    {"run", Concat(reported.run)},
-                                                    {"runner", runner->listing.id}});
+  LogDecision(adopted ? "adopt" : "stop_unwanted",
+              {{"job", std::string(reported.task.job.text())},
+               {"task", reported.task.ToString()},
+               {"run", Concat(reported.run)},
+               {"runner", runner->listing.id},
+               {"born", Concat(runner->listing.started_at.count())}});
   if (adopted) {
     entry->job.Place(reported.task, runner->key, reported.run);
   } else {
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -123,11 +123,15 @@
   Runner* runner = FindRunner(key);
   if (runner == nullptr) return;
   ++counters_.runners_lost;
+  const auto unlisted = std::count_if(runner->runs.begin(), runner->runs.end(),
+                                      [](const auto& run) { return !run.second.listed; });
   LogDecision("runner_lost",
               {{"runner", runner->listing.id},
+               {"born", Concat(runner->listing.started_at.count())},
                {"cell", Concat(number_)},
                {"why", std::string(reason)},
                {"runs", Concat(runner->runs.size())},
+               {"unlisted", Concat(unlisted)},
                {"lease_over_ms", runner->lease_end == Instant{}
                                      ? std::string("none")
                                      : Concat(MillisOf(time.now - runner->lease_end))}});
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -101,6 +101,7 @@
                                  {"task", command.task.ToString()},
                                  {"run", Concat(command.run)},
                                  {"runner", runner->listing.id},
+                                 {"born", Concat(runner->listing.started_at.count())},
                                  {"answer", std::string(CommandStatusName(outcome.status))}});
     ++counters_.starts_refused;
   }
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -382,6 +382,7 @@
                         {"task", id.ToString()},
                         {"run", Concat(run)},
                         {"runner", runner->listing.id},
+                        {"born", Concat(runner->listing.started_at.count())},
                         {"cell", Concat(number_)},
                         {"token", Concat(token_)},
                         {"free_cpu", Concat(runner->Free().cpu_milli)},
