--- a/standin/job_platform_main.cc
+++ b/standin/job_platform_main.cc
@@ -9,6 +9,7 @@
 
 #include "absl/strings/str_split.h"
 #include "core/http_status.h"
+#include "core/logging.h"
 #include "core/settings.h"
 #include "core/text.h"
 #include "net/async_http_server.h"
@@ -30,7 +31,10 @@
       {"help", "", "print this help", false, true},
       {"listen", "", "address of the store, IPv4:PORT", true},
       {"control", "", "address for configuration, faults and the ledger, IPv4:PORT", true},
-      {"runners", "", "runners as SERVICE=IPv4:PORT, joined by commas", true},
+      {"runners", "",
+       "runners as SERVICE=IPv4:PORT, joined by commas; with @IPv4:PORT the address that the store "
+       "publishes, where a relay to the runner listens",
+       true},
       {"parts", "4", "partitions of each topic, 1 to 1000"},
   };
   return kOptions;
@@ -41,11 +45,15 @@
   for (const absl::string_view item : absl::StrSplit(text, ',')) {
     const std::pair<std::string, std::string> service_and_address =
         absl::StrSplit(item, absl::MaxSplits('=', 1));
-    const auto address = ParseEndpoint(service_and_address.second);
+    const std::vector<std::string> addresses = absl::StrSplit(service_and_address.second, '@');
+    if (addresses.size() > 2) return absl::InvalidArgumentError("runners: more than one '@'");
+    const auto address = ParseEndpoint(addresses.front());
     if (!address.ok()) return address.status();
+    const auto published = ParseEndpoint(addresses.back());
+    if (!published.ok()) return published.status();
     const std::size_t index = entries.size();
     entries.push_back({Concat("runner-", index), service_and_address.first,
-                       Concat("rack-", index / kRunnersPerRack), *address});
+                       Concat("rack-", index / kRunnersPerRack), *address, *published});
   }
   return entries;
 }
@@ -120,6 +128,8 @@
       absl::Status status;
       if (query.path() == "/runner/restart") {
         runner->StartIncarnation();
+      } else if (query.path() == "/runner/crash") {
+        runner->Crash();
       } else if (query.path() == "/runner/complete") {
         runner->CompleteRuns();
       } else if (query.path() == "/runner/drain") {
@@ -166,7 +176,12 @@
     std::cerr << "standin-job-platform: " << status.message() << "\n";
     return 1;
   }
+  if (const absl::Status status = StartLogging({}); !status.ok()) {
+    std::cerr << "standin-job-platform: " << status.message() << "\n";
+    return 1;
+  }
   platform.Run();
+  StopLogging();
   return 0;
 }
 
--- a/standin/runner_server.cc
+++ b/standin/runner_server.cc
@@ -37,8 +37,9 @@
     : io_(io),
       entry_(std::move(entry)),
       store_(store),
-      runner_(ledger),
-      faults_({{"silent", 0}, {"refuse", 0}, {"lose_answers", 0}, {"late_starts", 0}}),
+      runner_(ledger, entry_.id),
+      faults_(
+          {{"silent", 0}, {"refuse", 0}, {"lose_answers", 0}, {"late_starts", 0}, {"unlisted", 0}}),
       server_(
           io, [this](const HttpRequest& request, const HttpReply& reply) { Serve(request, reply); },
           [] { return HttpServerLimits(); }) {}
@@ -48,6 +49,20 @@
       std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
   runner_.StartIncarnation(clock_.Now(), started_at.time_since_epoch());
   open_polls_.clear();
+  crashed_ = false;
+  listed_ = false;
+  ListIncarnation();
+}
+
+void RunnerServer::Crash() {
+  crashed_ = true;
+  open_polls_.clear();
+  runner_.LoseRuns();
+}
+
+void RunnerServer::ListIncarnation() {
+  if (listed_ || faults_.IsOn("unlisted")) return;
+  listed_ = true;
   PublishState("ready");
 }
 
@@ -55,7 +70,7 @@
 
 void RunnerServer::PublishState(const std::string& state) {
   const nlohmann::json entry = {{"Service", entry_.service},
-                                {"Address", entry_.address.ToString()},
+                                {"Address", entry_.published.ToString()},
                                 {"Zone", "dc0"},
                                 {"Version", "1"},
                                 {"State", state},
@@ -67,7 +82,7 @@
 }
 
 void RunnerServer::Serve(const HttpRequest& request, const HttpReply& reply) {
-  if (faults_.IsOn("silent")) return;
+  if (crashed_ || faults_.IsOn("silent")) return;
   if (HeaderValue(request, "X-Wigeonlane-Target-Instance") != entry_.id) {
     return reply(BareResponse(http_status::kMisdirectedRequest));
   }
@@ -85,11 +100,12 @@
 void RunnerServer::StartAfterDelay(const HttpRequest& request) {
   const auto timer = std::make_shared<asio::steady_timer>(*io_, kLateStartDelay);
   timer->async_wait([this, timer, request](asio::error_code error) {
-    if (!error) runner_.Serve(request.target, request.body, clock_.Now());
+    if (!error && !crashed_) runner_.Serve(request.target, request.body, clock_.Now());
   });
 }
 
 void RunnerServer::Advance(Instant now) {
+  ListIncarnation();
   runner_.Advance(now);
   std::erase_if(open_polls_, [&](const OpenPoll& poll) {
     if (now < poll.deadline && !runner_.has_results()) return false;
--- a/standin/runner_server.h
+++ b/standin/runner_server.h
@@ -22,11 +22,13 @@
   std::string service;
   std::string rack;
   Endpoint address;
+  Endpoint published;  ///< Address in the store's entry: `address`, or that of a relay to it.
 };
 
 /// Serves one runner. Not safe for several threads. Faults: `silent` ignores all calls without a
 /// response; `refuse` refuses the next N calls; `lose_answers` executes the next N calls without a
-/// response; `late_starts` executes the next N start commands late and without a response.
+/// response; `late_starts` executes the next N start commands late and without a response;
+/// `unlisted` withholds the entry of an incarnation that starts while it is on.
 class RunnerServer {
  public:
   RunnerServer(asio::io_context* io, RunnerEntry entry, StoreTopics* store, TaskLedger* ledger);
@@ -36,6 +38,9 @@
   /// Starts a new incarnation under the same id, which is ready even if the last one was draining.
   void StartIncarnation();
 
+  /// Ends all runs silently: no call is served and nothing is published until `StartIncarnation`.
+  void Crash();
+
   /// Publishes that the runner is draining.
   void Drain();
 
@@ -58,6 +63,8 @@
 
   void Serve(const HttpRequest& request, const HttpReply& reply);
   void StartAfterDelay(const HttpRequest& request);
+  /// Publishes the entry of this incarnation unless that was done or is withheld.
+  void ListIncarnation();
   void PublishState(const std::string& state);
 
   asio::io_context* io_;
@@ -66,6 +73,8 @@
   SteadyClock clock_;
   TaskRunner runner_;
   std::vector<OpenPoll> open_polls_;
+  bool crashed_ = false;
+  bool listed_ = false;  ///< The entry of this incarnation was published.
   std::uint64_t last_sequence_ = 0;
   FaultSwitches faults_;
   AsyncHttpServer server_;
--- a/standin/task_runner.cc
+++ b/standin/task_runner.cc
@@ -5,6 +5,8 @@
 #include <utility>
 
 #include "core/http_status.h"
+#include "core/logging.h"
+#include "core/text.h"
 #include "standin/json_response.h"
 
 namespace wigeonlane {
@@ -18,9 +20,16 @@
 
 }  // namespace
 
+void TaskRunner::LoseRuns() {
+  for (const auto& [task, run] : std::exchange(runs_, {})) {
+    ledger_->RecordLoss(task);
+    LogRun("run_over", task, run.run, "lost");
+  }
+}
+
 void TaskRunner::StartIncarnation(Instant now, std::chrono::milliseconds started_at) {
-  for (const auto& [task, run] : runs_) ledger_->RecordLoss(task);
-  *this = TaskRunner(ledger_);
+  LoseRuns();
+  *this = TaskRunner(ledger_, id_);
   incarnation_start_ = now;
   started_at_ = started_at;
 }
@@ -68,6 +77,7 @@
   const RunnerTime duration = millis < 0 ? RunnerTime(kUnlimitedDuration) : RunnerTime(millis);
   runs_[task] = {run, ToRunnerTime(now) + duration, ledger_->Failures(task) < failing_runs};
   ledger_->RecordStart(task);
+  LogRun("executed", task, run, "");
   return JsonResponse(http_status::kOk, {{"ClockMs", ToRunnerTime(now).count()}});
 }
 
@@ -145,6 +155,16 @@
   highest_finished_runs_[task] = std::max(highest_finished_runs_[task], run.run);
   results_.push_back(
       {++last_result_number_, task, run.run, outcome, ledger_->RecordEnd(task, outcome)});
+  LogRun("run_over", task, run.run, outcome);
+}
+
+void TaskRunner::LogRun(std::string_view event, const std::string& task, std::uint64_t run,
+                        const std::string& outcome) const {
+  LogDecision(event, {{"task", task},
+                      {"run", Concat(run)},
+                      {"runner", id_},
+                      {"born", Concat(started_at_.count())},
+                      {"how", outcome}});
 }
 
 }  // namespace wigeonlane
--- a/standin/task_runner.h
+++ b/standin/task_runner.h
@@ -8,6 +8,8 @@
 #include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "core/clock.h"
 #include "net/http_message.h"
@@ -20,7 +22,12 @@
 /// `"fails":1` makes the first run fail, whatever its run number. Not safe for several threads.
 class TaskRunner {
  public:
-  explicit TaskRunner(TaskLedger* ledger) : ledger_(ledger) {}
+  /// `id` names the runner in the log.
+  explicit TaskRunner(TaskLedger* ledger, std::string id = {})
+      : ledger_(ledger), id_(std::move(id)) {}
+
+  /// Ends all runs without a result.
+  void LoseRuns();
 
   /// Starts a new incarnation: all runs, results, the lease and the fencing token are lost.
   void StartIncarnation(Instant now, std::chrono::milliseconds started_at);
@@ -67,8 +74,12 @@
   bool IsFenced(const nlohmann::json& command);
   void ExtendLease(const nlohmann::json& command, Instant now);
   void FinishRun(const std::string& task, const Run& run, const std::string& outcome);
+  /// Logs the start or the end of a run, from which a test tells which incarnation executed it.
+  void LogRun(std::string_view event, const std::string& task, std::uint64_t run,
+              const std::string& outcome) const;
 
   TaskLedger* ledger_;
+  std::string id_;
   Instant incarnation_start_{};
   std::chrono::milliseconds started_at_{0};
   std::uint64_t fence_ = 0;
--- a/tools/job_fleet.py
+++ b/tools/job_fleet.py
@@ -40,7 +40,8 @@
         """Starts the stand-in. `pools` maps the name of a pool to its number of runners."""
         names = [pool for pool, count in pools.items() for _ in range(count)]
         store, control, *ports = free_ports(2 + len(names))
-        runners = ",".join(f"{pool}=127.0.0.1:{port}" for pool, port in zip(names, ports))
+        runners = ",".join(f"{pool}=127.0.0.1:{port}@127.0.0.1:{self.published_port(port)}"
+                           for pool, port in zip(names, ports))
         self.store_port = store
         self.platform = self._add(
             "job-platform",
@@ -50,6 +51,10 @@
             {"control": control})
         wait_until(lambda: self.control("/ledger")[0] == 200, START_SECONDS, "job platform up")
 
+    def published_port(self, port):
+        """Returns the port at which the store's entry of a runner names the one at `port`."""
+        return port
+
     def control(self, path, body="{}"):
         return fetch(self.platform.ports["control"], path, body)
 
@@ -160,5 +165,9 @@
         code, _, text = self.control(f"/runner/faults?id={runner}", json.dumps(switches))
         assert code == 200, text
 
+    def crash_runner(self, runner):
+        """Ends a runner silently; it serves and publishes nothing until `restart_runner`."""
+        assert self.control(f"/runner/crash?id={runner}")[0] == 200
+
     def restart_runner(self, runner):
         assert self.control(f"/runner/restart?id={runner}")[0] == 200
