--- a/tests/process/runner_relay.py
+++ b/tests/process/runner_relay.py
@@ -40,7 +40,8 @@
         tasks = asyncio.all_tasks(self._loop)
         for task in tasks:
             task.cancel()
-        self._loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            self._loop.run_until_complete(asyncio.wait(tasks))
         self._loop.close()
 
 
