--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -35,6 +35,8 @@
       return "no_room";
     case CommandStatus::kNoTicket:
       return "no_ticket";
+    case CommandStatus::kWrongRunner:
+      return "wrong_runner";
     case CommandStatus::kWrongIncarnation:
       return "wrong_life";
     case CommandStatus::kUnhealthy:
@@ -49,6 +51,22 @@
   return "unknown";
 }
 
+std::string_view LossReasonName(LossReason reason) {
+  switch (reason) {
+    case LossReason::kReplaced:
+      return "replaced by a new incarnation";
+    case LossReason::kOtherIncarnationResponds:
+      return "another incarnation at its address";
+    case LossReason::kUnresponsive:
+      return "unresponsive until its lease ended";
+    case LossReason::kMachineDown:
+      return "machine was taken down";
+    case LossReason::kOtherRunnerResponds:
+      return "another runner at its address";
+  }
+  return "unknown";
+}
+
 Cell::Cell(CellNumber number, TermToken token, CellOptions options)
     : number_(number),
       token_(token),
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -63,6 +63,7 @@
   std::uint64_t runs_failed = 0;
   std::uint64_t runs_ended_otherwise = 0;
   std::uint64_t runners_lost = 0;
+  std::uint64_t starts_passed_on = 0;  ///< To the entry of a later incarnation.
   std::uint64_t completed = 0;
 };
 
@@ -238,7 +239,7 @@
   struct UnacknowledgedStart {
     TaskId task;
     RunNumber run = 0;
-    Instant until{};
+    Instant sent_at{};
   };
 
   /// A machine that was released to go down, whatever happens to its runner meanwhile.
@@ -313,6 +314,7 @@
   void RestoreRunner(const RunnerListing& listing, CellTime time);
   void RestoreStrayLease(const std::string& key, const std::string& value, CellTime time);
   void RestoreHandover(const std::string& value, const TermWatch& watch, CellTime time);
+  Instant FormerOwnersStrayLeaseEnd() const;
   bool IsUnresponsive(const Runner& runner, Instant now) const;
   std::int64_t RemainingLeaseMs(const Runner& runner, Instant now) const;
   TermToken NoLeaseGrantedSince(const Runner& runner) const;
@@ -323,11 +325,17 @@
   Runner* FindRunner(RunnerKey key);
   Runner* AddRunner(const RunnerListing& listing, Instant now);
   void UpdateListing(const RunnerListing& listing, CellTime time);
-  void ReplaceIncarnation(Runner* old_incarnation, const RunnerListing& listing, CellTime time);
+  void ReplaceIncarnation(Runner* old_incarnation, const RunnerListing& listing, LossReason reason,
+                          CellTime time);
+  void PassOnStart(const TaskId& id, LiveRun run, RunnerKey earlier, Runner* runner);
+  static void LogSettledStart(const Runner& runner, const TaskId& id, const LiveRun& run,
+                              std::string_view outcome);
+  void UpdateIncarnation(Runner* runner, const RunnerListing& listing, Instant now);
+  void FreeExpiredStrays(Runner* runner, CellTime time);
   void RecordUnacknowledgedStart(const std::string& runner_id, const TaskId& task, RunNumber run,
-                                 Instant now);
+                                 Instant sent_at);
   void ForbidUnacknowledgedStarts(Runner* runner, Instant now);
-  void LoseRunner(RunnerKey key, std::string_view reason, CellTime time);
+  void LoseRunner(RunnerKey key, LossReason reason, CellTime time);
   void RecordStrayLease(const Runner& runner, Instant now);
   void LimitStrayLease(Runner* runner, Instant now);
   void StoreStrayLease(const std::string& runner_id, Instant now);
@@ -336,15 +344,16 @@
   void AdvanceRunners(CellTime time);
   void AdvanceStops(Runner* runner, CellTime time);
   void MaybePoll(Runner* runner, CellTime time);
-  void HandleReport(Runner* runner, const RunnerReport& report, CellTime time);
+  void HandleReport(Runner* runner, const RunnerReport& report, EventNumber poll, CellTime time);
   static TaskState* FindReportedTask(JobEntry* entry, const TaskId& id, UnixTime wall);
   void HandleResult(Runner* runner, const ReportedResult& result, CellTime time);
   void HandleFailure(Runner* runner, JobEntry* entry, const ReportedResult& result,
                      Instant start_sent_at, CellTime time);
   static void DelayRestart(TaskState* task, Instant start_sent_at, Instant now);
-  void HandleReportedRun(Runner* runner, const ReportedRun& reported, RunnerClock clock,
-                         CellTime time);
-  void FreeVanishedRuns(Runner* runner, const RunnerReport& report, CellTime time);
+  void HandleReportedRun(Runner* runner, const ReportedRun& reported, CellTime time);
+  void FreeVanishedRuns(Runner* runner, const RunnerReport& report, EventNumber poll,
+                        CellTime time);
+  void HandleStrayStartResponse(const StartCommand& command, CommandOutcome outcome, CellTime time);
   void UpdatePace(Runner* runner, const RunnerReport& report);
   std::chrono::milliseconds PauseBeforePoll(const Runner& runner) const;
   void RecordStoredResults(Runner* runner, Instant now) const;
@@ -468,6 +477,7 @@
   std::map<std::string, MachineRelease> machine_releases_;  ///< By runner id.
   UnreconciledRunners unreconciled_;
   RunnerKey last_key_ = kNoRunner;
+  EventNumber last_event_ = 0;
   bool schedule_requested_ = false;
   WaitingJobs waiting_;
   std::unordered_set<JobId> jobs_to_rank_;  ///< Jobs to be ranked again.
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -23,23 +23,25 @@
 
 }  // namespace
 
-void Cell::HandleReport(Runner* runner, const RunnerReport& report, CellTime time) {
+void Cell::HandleReport(Runner* runner, const RunnerReport& report, EventNumber poll,
+                        CellTime time) {
   if (runner->claimed && report.clock < runner->clock) {
     runner->next_poll_at = time.now + options_.min_poll_interval;
     return;
   }
   runner->clock = report.clock;
   runner->clock_read_at = time.now;
+  runner->report_requested_at = runner->poll_sent_at;
   runner->failed_polls = 0;
   const std::uint64_t applied_before = runner->applied_result;
   for (const ReportedResult& result : report.results) {
     if (result.number > runner->applied_result) HandleResult(runner, result, time);
   }
   for (const ReportedRun& reported : report.running) {
-    HandleReportedRun(runner, reported, report.clock, time);
+    HandleReportedRun(runner, reported, time);
   }
   runner->more_results = report.more_results;
-  if (!runner->more_results) FreeVanishedRuns(runner, report, time);
+  if (!runner->more_results) FreeVanishedRuns(runner, report, poll, time);
   UpdatePace(runner, report);
   if (!runner->claimed) {
     runner->claimed = true;
@@ -171,14 +173,16 @@
   if (job_failed) StopJob(entry, time.now);
 }
 
-void Cell::HandleReportedRun(Runner* runner, const ReportedRun& reported, RunnerClock clock,
-                             CellTime time) {
+void Cell::HandleReportedRun(Runner* runner, const ReportedRun& reported, CellTime time) {
   JobEntry* entry = FindJob(reported.task.job);
   TaskState* task = FindReportedTask(entry, reported.task, time.wall);
   if (LiveRun* live = FindRun(runner, reported.task, reported.run)) {
-    if (live->phase == RunPhase::kStarting) live->phase = RunPhase::kRunning;
-    live->listed = true;
-    live->known_since = std::max(live->known_since, clock);
+    if (live->phase == RunPhase::kUnconfirmed) {
+      LogSettledStart(*runner, reported.task, *live, "runs");
+    }
+    if (live->phase != RunPhase::kStopping) live->phase = RunPhase::kRunning;
+    live->executed_here = true;
+    live->known_since = ++last_event_;
     live->percent = reported.percent;
     if (task != nullptr && !reported.checkpoint.empty()) task->checkpoint = reported.checkpoint;
     return;
@@ -188,8 +192,8 @@
   }
   LiveRun run;
   run.run = reported.run;
-  run.known_since = clock;
-  run.listed = true;
+  run.known_since = ++last_event_;
+  run.executed_here = true;
   run.percent = reported.percent;
   const bool adopted = task != nullptr && task->phase == TaskPhase::kWaiting &&
                        !IsFinal(entry->job.state()) && reported.run >= task->last_run;
@@ -215,18 +219,36 @@
 }
 
 /// Frees runs that the report would include if they still existed.
-void Cell::FreeVanishedRuns(Runner* runner, const RunnerReport& report, CellTime time) {
+void Cell::FreeVanishedRuns(Runner* runner, const RunnerReport& report, EventNumber poll,
+                            CellTime time) {
   std::unordered_map<TaskId, RunNumber> running;
   for (const ReportedRun& reported : report.running) running.emplace(reported.task, reported.run);
   std::vector<TaskId> vanished;
+  std::vector<TaskId> refused;
   for (const auto& [task, run] : runner->runs) {
-    if (run.known_since == RunnerClock{0} || report.clock <= run.known_since) continue;
+    const auto found = running.find(task);
+    if (found != running.end() && found->second == run.run) continue;
+    // The poll carried a higher token than starts that were meant for earlier incarnations.
+    if (run.stray_until && !run.executed_here) {
+      refused.push_back(task);
+      continue;
+    }
+    // The incarnation that confirmed a start or a stop has ended if a later poll finds another one.
+    // Clocks cannot tell, since that of another incarnation may be ahead.
+    if (run.known_since == 0 || poll <= run.known_since) continue;
     const bool resolved =
         run.phase == RunPhase::kRunning || (run.phase == RunPhase::kStopping && run.stop_confirmed);
-    const auto found = running.find(task);
-    if (resolved && (found == running.end() || found->second != run.run)) vanished.push_back(task);
+    if (resolved) vanished.push_back(task);
   }
   for (const TaskId& task : vanished) FreeTask(runner, task, "no longer reported", time);
+  for (const TaskId& task : refused) {
+    const LiveRun run = runner->runs.at(task);
+    if (!run.start_confirmed_at) {
+      RecordUnacknowledgedStart(runner->listing.id, task, run.run, run.start_sent_at);
+    }
+    LogSettledStart(*runner, task, run, "not executed");
+    FreeTask(runner, task, "not executed by the next incarnation", time);
+  }
 }
 
 void Cell::UpdatePace(Runner* runner, const RunnerReport& report) {
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -155,7 +155,9 @@
 void Cell::HandleMachineDown(const std::string& runner_id, CellTime time) {
   machine_releases_.erase(runner_id);
   const auto key = key_by_id_.find(runner_id);
-  if (key != key_by_id_.end()) LoseRunner(key->second, "machine was taken down", time);
+  if (key == key_by_id_.end()) return;
+  Runner* runner = FindRunner(key->second);
+  ReplaceIncarnation(runner, runner->listing, LossReason::kMachineDown, time);
 }
 
 /// Whether a run may be stopped without exceeding its step's limit of unavailable tasks. Short
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -80,8 +80,9 @@
     if (record.value && record.key == kHandoverKey) RestoreHandover(*record.value, watch, time);
   }
   // The limits in a handover record do not include these leases.
+  const Instant end_by_former_owners = FormerOwnersStrayLeaseEnd();
   for (auto& [key, runner] : runners_) {
-    const Instant end = stray_leases_.EndOn(runner.listing);
+    const Instant end = stray_leases_.EndOn(runner.listing, end_by_former_owners);
     runner.predecessor_lease_end = std::max(runner.predecessor_lease_end, end);
     runner.lease_end = std::max(runner.lease_end, end);
   }
@@ -181,6 +182,14 @@
   if (!status.ok()) LogUnreadable(number_, key, MessageOf(status));
 }
 
+/// When leases end on later incarnations by commands that former owners sent, except for commands
+/// that the platform has delayed.
+Instant Cell::FormerOwnersStrayLeaseEnd() const {
+  // A start may be preceded by a check of the incarnation, each with its own timeout.
+  return restored_at_ + options_.authority - options_.min_membership +
+         2 * options_.command_timeout + options_.MaxStrayLeaseAfterContact();
+}
+
 void Cell::PrepareHandover(std::chrono::milliseconds role_wait, CellTime time) {
   authority_until_ = Instant{};
   HandoverRecord record;
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -40,8 +40,12 @@
 }
 
 void Cell::RecordUnacknowledgedStart(const std::string& runner_id, const TaskId& task,
-                                     RunNumber run, Instant now) {
-  unacknowledged_starts_[runner_id].push_back({task, run, now + options_.max_command_delay});
+                                     RunNumber run, Instant sent_at) {
+  auto& starts = unacknowledged_starts_[runner_id];
+  const auto known = std::find_if(starts.begin(), starts.end(), [&](const auto& start) {
+    return start.task == task && start.run == run;
+  });
+  if (known == starts.end()) starts.push_back({task, run, sent_at});
 }
 
 /// Makes the runner refuse unacknowledged starts that were sent to an earlier incarnation and may
@@ -49,14 +53,17 @@
 void Cell::ForbidUnacknowledgedStarts(Runner* runner, Instant now) {
   const auto found = unacknowledged_starts_.find(runner->listing.id);
   if (found == unacknowledged_starts_.end()) return;
-  std::erase_if(found->second,
-                [&](const UnacknowledgedStart& start) { return start.until <= now; });
+  std::erase_if(found->second, [&](const UnacknowledgedStart& start) {
+    return start.sent_at + options_.max_command_delay <= now;
+  });
   for (const UnacknowledgedStart& start : found->second) {
     LiveRun run;
     run.run = start.run;
     run.phase = RunPhase::kStopping;
+    run.start_sent_at = start.sent_at;
+    run.stray_until = start.sent_at + options_.MaxStrayLease();
+    runner->lease_end = std::max(runner->lease_end, *run.stray_until);
     AddRun(runner, start.task, run);
-    runner->lease_end = now + options_.MaxStrayLease();
   }
   if (found->second.empty()) unacknowledged_starts_.erase(found);
 }
@@ -76,7 +83,12 @@
   }
   Runner* runner = FindRunner(known->second);
   if (listing.started_at > runner->listing.started_at) {
-    return ReplaceIncarnation(runner, listing, time);
+    runner->listed = true;
+    // Connections to another address are new, and a poll that is pending gets no response.
+    if (runner->claimed || listing.endpoint != runner->listing.endpoint) {
+      return ReplaceIncarnation(runner, listing, LossReason::kReplaced, time);
+    }
+    return UpdateIncarnation(runner, listing, time.now);
   }
   if (listing.started_at < runner->listing.started_at) return;  // Entry of an earlier incarnation.
   if (listing.draining && !runner->listing.draining) {
@@ -86,59 +98,129 @@
   runner->listed = true;
 }
 
-/// Replaces an incarnation of a runner by its successor. The runs that the old incarnation reported
-/// have ended. Its other starts may reach the new incarnation: they become runs there that must be
-/// stopped before their tasks are placed again.
+/// Replaces the entry of an incarnation that has ended or is given up. What its reports have listed
+/// has ended with it or with its lease. Any other start may have been executed by a later
+/// incarnation, whatever the response to it, or may yet be: it passes to the new entry until that
+/// incarnation reports for itself or the lease that it may have granted is over. The new entry has
+/// the `listing` of the next incarnation if that is known, else of the old one until a poll tells.
 void Cell::ReplaceIncarnation(Runner* old_incarnation, const RunnerListing& listing,
-                              CellTime time) {
-  std::vector<std::pair<TaskId, LiveRun>> unacknowledged;
+                              LossReason reason, CellTime time) {
+  const RunnerKey old_key = old_incarnation->key;
+  std::vector<std::pair<TaskId, LiveRun>> strays;
   for (const auto& [task, run] : old_incarnation->runs) {
-    if (!run.listed) unacknowledged.emplace_back(task, run);
+    if (run.executed_here) continue;
+    const Instant end = old_incarnation->LatestStrayEnd(run, options_);
+    if (end <= time.now) continue;
+    strays.emplace_back(task, run);
+    strays.back().second.stray_until = end;
   }
-  const RunnerKey old_key = old_incarnation->key;
+  if (strays.empty() && !old_incarnation->listed) return LoseRunner(old_key, reason, time);
   Runner* runner = AddRunner(listing, time.now);
+  runner->listed = old_incarnation->listed;
+  runner->is_later = old_incarnation->is_later || HasLaterIncarnation(reason);
   // Commands of a predecessor may have reached the new incarnation as well.
-  if (unreconciled_.contains(old_key)) {
+  if (unreconciled_.contains(old_key) && time.now < old_incarnation->predecessor_lease_end) {
     unreconciled_.AddNextIncarnation(old_key, runner->key);
-    runner->predecessor_lease_end = FindRunner(old_key)->predecessor_lease_end;
+    runner->predecessor_lease_end =
+        std::max(old_incarnation->predecessor_lease_end, FormerOwnersStrayLeaseEnd());
+    runner->lease_end = std::max(runner->lease_end, runner->predecessor_lease_end);
   }
-  for (auto& [task, run] : unacknowledged) {
-    RemoveRun(FindRunner(old_key), task);
-    RecordUnacknowledgedStart(listing.id, task, run.run, time.now);
-    run.phase = RunPhase::kStopping;
-    run.stop_pending = run.stop_confirmed = false;
-    run.known_since = RunnerClock{0};
-    runner->lease_end = time.now + options_.MaxStrayLease();
-    AddRun(runner, task, run);
-    if (JobEntry* entry = FindJob(task.job)) {
-      TaskState* state = entry->job.FindTask(task);
-      if (state != nullptr && state->runner == old_key) state->runner = runner->key;
-    }
+  for (auto& [task, run] : strays) {
+    RemoveRun(old_incarnation, task);
+    PassOnStart(task, run, old_key, runner);
+  }
+  LoseRunner(old_key, reason, time);
+}
+
+/// Adds a start that was meant for an earlier incarnation to the entry of a later one.
+void Cell::PassOnStart(const TaskId& id, LiveRun run, RunnerKey earlier, Runner* runner) {
+  JobEntry* entry = FindJob(id.job);
+  // Other members of a gang may have ended with the earlier incarnation.
+  const bool gang = entry != nullptr && entry->job.spec().steps[id.step].gang;
+  if (run.phase != RunPhase::kStopping) {
+    run.phase = gang ? RunPhase::kStopping : RunPhase::kUnconfirmed;
+  }
+  run.stop_pending = run.stop_confirmed = false;
+  run.known_since = 0;
+  runner->lease_end = std::max(runner->lease_end, *run.stray_until);
+  AddRun(runner, id, run);
+  ++counters_.starts_passed_on;
+  LogDecision("start_passed_on", {{"job", std::string(id.job.text())},
+                                  {"task", id.ToString()},
+                                  {"run", Concat(run.run)},
+                                  {"runner", runner->listing.id},
+                                  {"born", Concat(runner->listing.started_at.count())},
+                                  {"confirmed", run.start_confirmed_at ? "yes" : "no"}});
+  TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(id);
+  if (task != nullptr && task->runner == earlier) task->runner = runner->key;
+}
+
+void Cell::LogSettledStart(const Runner& runner, const TaskId& id, const LiveRun& run,
+                           std::string_view outcome) {
+  LogDecision("start_settled", {{"job", std::string(id.job.text())},
+                                {"task", id.ToString()},
+                                {"run", Concat(run.run)},
+                                {"runner", runner.listing.id},
+                                {"born", Concat(runner.listing.started_at.count())},
+                                {"outcome", std::string(outcome)}});
+}
+
+/// Another incarnation than expected has the id of a runner that has not responded yet. No start
+/// was sent with the token of its entry.
+void Cell::UpdateIncarnation(Runner* runner, const RunnerListing& listing, Instant now) {
+  RecordStrayLease(*runner, now);
+  runner->deadline_sent_at = Instant{};
+  runner->is_later = runner->is_later || listing.started_at > runner->listing.started_at;
+  runner->registered = false;
+  runner->registry_batch = 0;
+  runner->listing = listing;
+  runner->next_poll_at = now;
+  if (!unreconciled_.contains(runner->key)) return;
+  // Commands of a predecessor may have reached this incarnation.
+  const Instant end = FormerOwnersStrayLeaseEnd();
+  runner->predecessor_lease_end = std::max(runner->predecessor_lease_end, end);
+  runner->lease_end = std::max(runner->lease_end, end);
+}
+
+/// Frees starts that no incarnation can be running any more. A runner that discovery does not list
+/// counts as gone (the platform's rule), unless a later incarnation has been seen or the response
+/// to the start suggests one.
+void Cell::FreeExpiredStrays(Runner* runner, CellTime time) {
+  std::vector<TaskId> expired;
+  for (const auto& [task, run] : runner->runs) {
+    if (!run.stray_until || run.executed_here) continue;
+    const bool is_gone = !runner->listed && !runner->is_later && !run.start_confirmed_at;
+    if (is_gone || *run.stray_until <= time.now) expired.push_back(task);
+  }
+  for (const TaskId& task : expired) {
+    LogSettledStart(*runner, task, runner->runs.at(task), "lease over");
+    FreeTask(runner, task, "lease over on any incarnation", time);
   }
-  LoseRunner(old_key, "replaced by a new incarnation", time);
-  key_by_id_[listing.id] = runner->key;
 }
 
-void Cell::LoseRunner(RunnerKey key, std::string_view reason, CellTime time) {
+/// Removes the entry of an incarnation and frees all of its runs.
+void Cell::LoseRunner(RunnerKey key, LossReason reason, CellTime time) {
   Runner* runner = FindRunner(key);
   if (runner == nullptr) return;
   ++counters_.runners_lost;
-  const auto unlisted = std::count_if(runner->runs.begin(), runner->runs.end(),
-                                      [](const auto& run) { return !run.second.listed; });
+  const auto strays = std::count_if(runner->runs.begin(), runner->runs.end(),
+                                    [](const auto& run) { return !run.second.executed_here; });
   LogDecision("runner_lost",
               {{"runner", runner->listing.id},
                {"born", Concat(runner->listing.started_at.count())},
                {"cell", Concat(number_)},
-               {"why", std::string(reason)},
+               {"why", std::string(LossReasonName(reason))},
                {"runs", Concat(runner->runs.size())},
-               {"unlisted", Concat(unlisted)},
+               {"strays", Concat(strays)},
                {"lease_over_ms", runner->lease_end == Instant{}
                                      ? std::string("none")
                                      : Concat(MillisOf(time.now - runner->lease_end))}});
   while (!runner->runs.empty()) {
     const auto [task, run] = *runner->runs.begin();
-    if (!run.listed) RecordUnacknowledgedStart(runner->listing.id, task, run.run, time.now);
-    FreeTask(runner, task, reason, time);
+    if (!run.executed_here && !run.start_confirmed_at) {
+      RecordUnacknowledgedStart(runner->listing.id, task, run.run, run.start_sent_at);
+    }
+    FreeTask(runner, task, LossReasonName(reason), time);
   }
   RecordStrayLease(*runner, time.now);
   const auto by_id = key_by_id_.find(runner->listing.id);
@@ -208,7 +290,8 @@
 void Cell::StoreRunnerRecords() {
   std::map<std::string, RunnerListing> records;
   for (auto& [key, runner] : runners_) {
-    if (!runner.claimed && !runner.registered && !unreconciled_.contains(key)) continue;
+    const bool may_have_runs = runner.claimed || !runner.runs.empty();
+    if (!may_have_runs && !runner.registered && !unreconciled_.contains(key)) continue;
     const RunnerListing& listing = records[runner.listing.id] = runner.listing;
     const auto stored = stored_runners_.find(listing.id);
     const bool unchanged = stored != stored_runners_.end() && stored->second == listing;
@@ -229,6 +312,7 @@
 void Cell::AdvanceRunners(CellTime time) {
   std::vector<RunnerKey> lost;
   for (auto& [key, runner] : runners_) {
+    if (!runner.claimed) FreeExpiredStrays(&runner, time);
     const bool lease_over = time.now >= runner.lease_end;
     // While this owner has no authority, a former owner may own the cell again and grant leases.
     const bool predecessor_over =
@@ -246,11 +330,9 @@
     MaybePoll(&runner, time);
   }
   for (const RunnerKey key : lost) {
-    const Runner& runner = runners_.at(key);
     // Discovery reports only changes, so a runner that it still lists is polled until it responds.
-    const auto listing = runner.listed ? std::optional(runner.listing) : std::nullopt;
-    LoseRunner(key, "unresponsive until its lease ended", time);
-    if (listing) AddRunner(*listing, time.now);
+    Runner& runner = runners_.at(key);
+    ReplaceIncarnation(&runner, runner.listing, LossReason::kUnresponsive, time);
   }
   MaybeStoreLeaseLimits(time);
 }
@@ -273,6 +355,7 @@
   if (runner->claimed && runner->runs.empty() && !runner->more_results && !runner->listed) return;
   PollRequest poll;
   poll.runner = runner->key;
+  poll.number = ++last_event_;
   poll.forget_up_to = runner->stored_result;
   // A poll may extend the lease even if it gets no response. An unresponsive runner is therefore
   // polled without a lease, so that its lease ends and its tasks can be placed elsewhere.
@@ -288,8 +371,10 @@
     poll.wait = watched ? options_.watched_poll_wait : options_.poll_wait;
     // The next poll extends the lease; it must not be delayed once authority is back.
     if (!poll.lease) poll.wait = std::min(poll.wait, options_.unleased_poll_wait);
+    if (runner->AwaitsReport()) poll.wait = std::chrono::milliseconds(0);
   }
   runner->poll_pending = true;
+  runner->poll_sent_at = time.now;
   ++counters_.polls;
   outbox_.polls.push_back(poll);
 }
@@ -301,11 +386,16 @@
   if (runner == nullptr) return;
   runner->poll_pending = false;
   if (status == CommandStatus::kFenced) return HandleFencedCommand(key);
-  if (status == CommandStatus::kWrongIncarnation) {
-    return LoseRunner(key, "another incarnation at its address", time);
+  if (status == CommandStatus::kWrongRunner) {
+    return LoseRunner(key, LossReason::kOtherRunnerResponds, time);
   }
   if (!report) {
     if (runner->failed_polls++ == 0) {
+      const bool has_strays =
+          std::any_of(runner->runs.begin(), runner->runs.end(),
+                      [](const auto& run) { return !run.second.executed_here; });
+      // A successor does not know that a later incarnation may run these starts.
+      if (has_strays) RecordStrayLease(*runner, time.now);
       LogDecision("poll_failed", {{"runner", runner->listing.id},
                                   {"cell", Concat(number_)},
                                   {"why", std::string(CommandStatusName(status))},
@@ -317,12 +407,16 @@
   if (report->started_at != runner->listing.started_at) {
     RunnerListing listing = runner->listing;
     listing.started_at = report->started_at;
-    ReplaceIncarnation(runner, listing, time);
-    runner = FindRunner(key_by_id_[listing.id]);
+    // The poll carried the token of the expected incarnation, so the present one does not refuse
+    // commands to that one yet.
+    if (runner->claimed) {
+      return ReplaceIncarnation(runner, listing, LossReason::kReplaced, time);
+    }
+    UpdateIncarnation(runner, listing, time.now);
   } else if (report->acknowledgement_sent) {
     runner->acknowledged_result = std::max(runner->acknowledged_result, request.forget_up_to);
   }
-  HandleReport(runner, *report, time);
+  HandleReport(runner, *report, request.number, time);
 }
 
 }  // namespace wigeonlane
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -92,9 +92,9 @@
 }
 
 void Cell::HandleStartResponse(const StartCommand& command, CommandOutcome outcome, CellTime time) {
-  if (outcome.status == CommandStatus::kFenced) return HandleFencedCommand(command.runner);
   Runner* runner = FindRunner(command.runner);
-  if (runner == nullptr) return;
+  if (runner == nullptr) return HandleStrayStartResponse(command, outcome, time);
+  if (outcome.status == CommandStatus::kFenced) return HandleFencedCommand(command.runner);
   LiveRun* run = FindRun(runner, command.task, command.run);
   if (outcome.status != CommandStatus::kDone) {
     LogDecision("start_answer", {{"job", std::string(command.task.job.text())},
@@ -105,14 +105,24 @@
                                  {"answer", std::string(CommandStatusName(outcome.status))}});
     ++counters_.starts_refused;
   }
+  if (outcome.status == CommandStatus::kWrongRunner) {
+    return LoseRunner(command.runner, LossReason::kOtherRunnerResponds, time);
+  }
   if (outcome.status == CommandStatus::kWrongIncarnation) {
-    return LoseRunner(command.runner, "another incarnation at its address", time);
+    if (run != nullptr) {
+      FreeTask(runner, command.task, CommandStatusName(outcome.status), time);
+    }
+    return ReplaceIncarnation(runner, runner->listing, LossReason::kOtherIncarnationResponds, time);
   }
   if (run == nullptr) return;
   switch (outcome.status) {
     case CommandStatus::kDone:
       if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kRunning;
-      if (outcome.clock) run->known_since = std::max(run->known_since, *outcome.clock);
+      run->start_confirmed_at = time.now;
+      run->known_since = ++last_event_;
+      if (outcome.clock && runner->IsOwnClock(*outcome.clock, options_, time.now)) {
+        run->executed_here = true;
+      }
       return;
     case CommandStatus::kNoResponse:
       ++counters_.starts_without_response;
@@ -142,10 +152,31 @@
   FreeTask(runner, command.task, CommandStatusName(outcome.status), time);
 }
 
+/// Handles the response to a start whose incarnation has been replaced meanwhile.
+void Cell::HandleStrayStartResponse(const StartCommand& command, CommandOutcome outcome,
+                                    CellTime time) {
+  JobEntry* entry = FindJob(command.task.job);
+  const TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(command.task);
+  Runner* runner = task == nullptr ? nullptr : FindRunner(task->runner);
+  LiveRun* run = runner == nullptr ? nullptr : FindRun(runner, command.task, command.run);
+  if (run == nullptr || run->executed_here) return;
+  switch (outcome.status) {
+    case CommandStatus::kNoResponse:
+      return RecordUnacknowledgedStart(runner->listing.id, command.task, command.run, time.now);
+    case CommandStatus::kDone:
+      run->start_confirmed_at = time.now;
+      run->stray_until =
+          std::min(*run->stray_until, time.now + 2 * options_.MaxStrayLeaseAfterContact());
+      return;
+    default:
+      return FreeTask(runner, command.task, CommandStatusName(outcome.status), time);
+  }
+}
+
 void Cell::HandleStopResponse(const StopCommand& command, CommandOutcome outcome, CellTime time) {
   if (outcome.status == CommandStatus::kFenced) return HandleFencedCommand(command.runner);
-  if (outcome.status == CommandStatus::kWrongIncarnation) {
-    return LoseRunner(command.runner, "another incarnation at its address", time);
+  if (outcome.status == CommandStatus::kWrongRunner) {
+    return LoseRunner(command.runner, LossReason::kOtherRunnerResponds, time);
   }
   Runner* runner = FindRunner(command.runner);
   LiveRun* run = runner == nullptr ? nullptr : FindRun(runner, command.task, command.run);
@@ -153,7 +184,7 @@
   run->stop_pending = false;
   if (outcome.status != CommandStatus::kDone) return;
   run->stop_confirmed = true;
-  if (outcome.clock) run->known_since = std::max(run->known_since, *outcome.clock);
+  run->known_since = ++last_event_;
 }
 
 }  // namespace wigeonlane
--- a/cells/cell_types.h
+++ b/cells/cell_types.h
@@ -31,6 +31,9 @@
 /// that a new incarnation refuses commands sent to an earlier one once its owner has called it.
 using FenceToken = std::uint64_t;
 
+/// Numbers a cell's polls and what it learns of runs, in their order.
+using EventNumber = std::uint64_t;
+
 /// A time on a runner's own clock, counted from the start of the runner's incarnation.
 using RunnerClock = std::chrono::milliseconds;
 
@@ -98,7 +101,8 @@
   kTooLate,           ///< The command's deadline has passed on the runner's clock.
   kNoCapacity,        ///< The runner has too little free capacity.
   kNoTicket,          ///< The advisor's ticket is missing or no longer valid.
-  kWrongIncarnation,  ///< Another incarnation responds at that address.
+  kWrongIncarnation,  ///< Not sent: another incarnation of the runner responds at that address.
+  kWrongRunner,       ///< Refused: another runner responds at that address.
   kUnhealthy,         ///< Refused by an unhealthy runner; nothing was executed.
   kInvalid,           ///< The runner cannot parse the command.
   kNotSent,           ///< No byte of the command left this process.
@@ -237,7 +241,8 @@
   std::optional<RunnerClock> lease;  ///< New end of the lease, on the runner's clock.
   std::uint64_t forget_up_to = 0;    ///< The runner may discard results up to this number.
   std::chrono::milliseconds wait{
-      0};  ///< The runner may delay its response this long until a run ends.
+      0};                  ///< The runner may delay its response this long until a run ends.
+  EventNumber number = 0;  ///< Of the poll among the cell's events.
 };
 
 /// Asks the advisor which of the given runners may run a step.
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -23,10 +23,26 @@
 enum class RunPhase : std::uint8_t {
   kStarting,     ///< The start was sent and has no response yet.
   kRunning,      ///< The runner confirmed the run.
-  kUnconfirmed,  ///< The start got no response; the run may be running now or start later.
+  kUnconfirmed,  ///< The start was meant for an earlier incarnation; this one may run it.
   kStopping,     ///< The run is to be stopped or must not start.
 };
 
+/// Why the entry of an incarnation ends.
+enum class LossReason : std::uint8_t {
+  kReplaced,                  ///< A later incarnation has responded or is listed.
+  kOtherIncarnationResponds,  ///< The check before a start found another incarnation.
+  kUnresponsive,              ///< Until its lease ended.
+  kMachineDown,
+  kOtherRunnerResponds,  ///< At its address, so all of its incarnations there have ended.
+};
+
+std::string_view LossReasonName(LossReason reason);
+
+/// Whether an incarnation that has started later is known to exist.
+inline bool HasLaterIncarnation(LossReason reason) {
+  return reason == LossReason::kReplaced || reason == LossReason::kOtherIncarnationResponds;
+}
+
 /// One run on one runner.
 struct LiveRun {
   RunNumber run = 0;
@@ -34,14 +50,19 @@
   Resources load;
   bool long_running = false;  ///< The task runs until its job is cancelled.
   Instant start_sent_at{};
+  /// When the start was confirmed. The response does not tell which incarnation has executed it.
+  std::optional<Instant> start_confirmed_at;
   Instant stop_sent_at{};
   bool stop_pending = false;
   bool stop_confirmed = false;
-  /// A report of this incarnation has listed the run. Responses to starts do not identify the
-  /// incarnation.
-  bool listed = false;
-  /// Reports that the runner makes after this time on its clock include the run if it exists.
-  RunnerClock known_since{0};
+  /// This incarnation has executed the start: a report has listed the run, or the clock in the
+  /// response shows it.
+  bool executed_here = false;
+  /// Set if the start was meant for an earlier incarnation: until then a later one may run it.
+  std::optional<Instant> stray_until;
+  /// The response or report from which on the runner reports the run if it exists: reports to polls
+  /// that were sent later include it. 0 if there is none.
+  EventNumber known_since = 0;
   std::uint32_t percent = 0;  ///< As last reported; a task has started up once it is at 100.
 };
 
@@ -55,9 +76,13 @@
   bool registered = false;  ///< The stored runner registry lists it, so a successor reconciles it.
   BatchNumber registry_batch = 0;  ///< First batch with a registry that lists it; 0 if none does.
   bool listed = true;              ///< Discovery lists this incarnation now.
+  /// An incarnation later than the one that the stray starts here were meant for has responded or
+  /// was listed.
+  bool is_later = false;
 
   RunnerClock clock{0};             ///< The runner's clock in its last report.
   Instant clock_read_at{};          ///< When that report arrived.
+  Instant report_requested_at{};    ///< When the poll that it responds to was sent.
   Instant predecessor_lease_end{};  ///< Latest end of leases that predecessors granted.
   Instant lease_end{};  ///< No run is left on the runner after this unless a new lease is granted.
   /// When this owner, or a predecessor, may last have sent a command with a deadline.
@@ -69,6 +94,7 @@
   bool leases_barred = false;  ///< A lease limit record in the store may list this runner.
 
   bool poll_pending = false;
+  Instant poll_sent_at{};  ///< The last poll.
   Instant next_poll_at{};
   std::uint32_t failed_polls = 0;
 
@@ -129,6 +155,35 @@
     if (end > lease_end) lease_end = end;
   }
 
+  /// Whether a command was executed by this incarnation, whose clock read `reading`. Any later one
+  /// started after the last report had been requested, and its clock with it.
+  bool IsOwnClock(RunnerClock reading, const CellOptions& options, Instant now) const {
+    return reading > now - report_requested_at + options.clock_slack;
+  }
+
+  /// Returns until when a run may last if a later incarnation executes its start. That grants a
+  /// lease as long as the runner allows, because the deadline refers to the clock of this
+  /// incarnation.
+  Instant LatestStrayEnd(const LiveRun& run, const CellOptions& options) const {
+    if (run.stray_until) return *run.stray_until;
+    const Instant last_execution = deadline_sent_at + options.max_command_delay;
+    if (!run.start_confirmed_at) return last_execution + options.MaxStrayLeaseAfterContact();
+    // Later commands extend the lease only while the run lasts.
+    const Instant first_lease_end = *run.start_confirmed_at + options.MaxStrayLeaseAfterContact();
+    return std::min(first_lease_end, last_execution) + options.MaxStrayLeaseAfterContact();
+  }
+
+  /// Whether the next report is worth a poll of its own: a run was stopped before it was listed, or
+  /// a later incarnation may have started a long-running task, which would wait for the longest
+  /// lease if the runner were lost.
+  bool AwaitsReport() const {
+    return std::any_of(runs.begin(), runs.end(), [](const auto& entry) {
+      const LiveRun& run = entry.second;
+      const bool started = run.long_running && run.phase == RunPhase::kRunning;
+      return !run.executed_here && (run.stop_confirmed || started);
+    });
+  }
+
   /// Whether the runner has `label`. An empty label matches every runner.
   bool HasLabel(const std::string& label) const {
     return label.empty() ||
--- a/cells/stray_leases.cc
+++ b/cells/stray_leases.cc
@@ -1,6 +1,7 @@
 #include "cells/stray_leases.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/codec.h"
 
@@ -26,43 +27,49 @@
   bound.addressed = std::max(bound.addressed, listing.started_at);
   bound.contacted = std::chrono::milliseconds(0);
   bound.end = std::max(bound.end, end);
+  bound.stored = true;
 }
 
 Instant StrayLeases::Limit(const RunnerListing& listing, Instant limit) {
   const auto found = bounds_.find(listing.id);
   if (found == bounds_.end() || listing.started_at <= found->second.addressed) return {};
-  found->second.contacted = listing.started_at;
-  found->second.end = std::min(found->second.end, limit);
-  return found->second.end;
+  Bound& bound = found->second;
+  bound.contacted = listing.started_at;
+  bound.end = bound.contacted_end = std::min(bound.end, limit);
+  bound.stored = true;
+  return bound.contacted_end;
 }
 
-Instant StrayLeases::EndOn(const RunnerListing& listing) const {
+Instant StrayLeases::EndOn(const RunnerListing& listing, Instant limit) const {
   const auto found = bounds_.find(listing.id);
-  const bool contacted = found != bounds_.end() && found->second.contacted == listing.started_at;
-  return contacted ? found->second.end : Instant{};
+  if (found == bounds_.end()) return {};
+  const Bound& bound = found->second;
+  return bound.contacted == listing.started_at ? bound.contacted_end : std::min(bound.end, limit);
 }
 
 std::vector<std::string> StrayLeases::TakeExpired(Instant now) {
   std::vector<std::string> expired;
-  std::erase_if(bounds_, [&](const auto& bound) {
-    if (bound.second.end > now) return false;
-    expired.push_back(bound.first);
-    return true;
-  });
+  for (auto& [runner_id, bound] : bounds_) {
+    if (bound.StoredEnd() > now || !std::exchange(bound.stored, false)) continue;
+    expired.push_back(runner_id);
+  }
+  std::erase_if(bounds_, [&](const auto& bound) { return bound.second.end <= now; });
   return expired;
 }
 
 std::string StrayLeases::Encoded(const std::string& runner_id, Instant now) const {
   const Bound& bound = bounds_.at(runner_id);
-  return Encode(StrayLeaseRecord{bound.addressed, bound.contacted,
-                                 std::chrono::ceil<std::chrono::milliseconds>(bound.end - now)});
+  return Encode(
+      StrayLeaseRecord{bound.addressed, bound.contacted,
+                       std::chrono::ceil<std::chrono::milliseconds>(bound.StoredEnd() - now)});
 }
 
 absl::Status StrayLeases::Restore(const std::string& runner_id, std::string_view bytes,
                                   Instant now) {
   const auto record = Decode<StrayLeaseRecord>(bytes);
   if (!record.ok()) return record.status();
-  bounds_[runner_id] = {record->addressed, record->contacted, now + record->remaining};
+  const Instant end = now + record->remaining;
+  bounds_[runner_id] = {record->addressed, end, record->contacted, end};
   return absl::OkStatus();
 }
 
--- a/cells/stray_leases.h
+++ b/cells/stray_leases.h
@@ -27,15 +27,17 @@
   /// ended or is given up. Leases that they grant on later incarnations end by `end`.
   void Add(const RunnerListing& listing, Instant end);
 
-  /// Records that an incarnation was called, so that such leases on it end by `limit`. Returns when
-  /// they end; `Instant{}` if no earlier incarnation was sent commands.
+  /// Records that an incarnation was called, so that such leases on it end by `limit`; those on
+  /// later incarnations may end later. Returns when they end; `Instant{}` if no earlier incarnation
+  /// was sent commands.
   Instant Limit(const RunnerListing& listing, Instant limit);
 
-  /// Returns when such leases on a runner end that a former owner has called; `Instant{}` if there
-  /// are none.
-  Instant EndOn(const RunnerListing& listing) const;
+  /// Returns when such leases end on a runner that former owners have sent commands to;
+  /// `Instant{}` if there are none. `limit` is the end of those by commands that were executed
+  /// before the takeover.
+  Instant EndOn(const RunnerListing& listing, Instant limit) const;
 
-  /// Removes the runners whose leases have ended and returns their ids.
+  /// Removes the bounds that have passed. Returns the ids of runners whose stored bound has passed.
   std::vector<std::string> TakeExpired(Instant now);
 
   /// Encodes the bound of a runner that the collection contains.
@@ -49,9 +51,16 @@
   struct Bound {
     /// Start of the newest incarnation that commands were meant for.
     std::chrono::milliseconds addressed{0};
-    /// Start of the incarnation that refuses these commands; 0 if none has been called.
-    std::chrono::milliseconds contacted{0};
     Instant end{};
+    /// Start of the newest incarnation that refuses these commands; 0 if none has been called.
+    std::chrono::milliseconds contacted{0};
+    Instant contacted_end{};  ///< On that incarnation.
+    bool stored = true;       ///< The store has a record of it.
+
+    /// The end that a successor has to know.
+    Instant StoredEnd() const {
+      return contacted == std::chrono::milliseconds(0) ? end : contacted_end;
+    }
   };
 
   std::map<std::string, Bound> bounds_;  ///< By runner id.
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -371,6 +371,7 @@
         {"ends_failed", counters.runs_failed},
         {"ends_other", counters.runs_ended_otherwise},
         {"runners_lost", counters.runners_lost},
+        {"starts_passed_on", counters.starts_passed_on},
         {"unsettled_runners", host->cell()->unreconciled_runners()},
         {"jobs", host->cell()->job_count()}};
     for (const auto& [name, value] : values) {
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -124,6 +125,7 @@
     PollRequest poll;
     poll.runner = cell_->FindRunnerById(runner)->key;
     poll.forget_up_to = last_end_[runner] - 1;
+    poll.number = std::numeric_limits<EventNumber>::max();
     now_ += std::chrono::milliseconds(1);
     cell_->ExtendAuthority(now_ + CellOptions().authority);
     RespondTo(poll);
@@ -154,6 +156,11 @@
   std::size_t max_listed_results_ = 500;                        ///< Results in one report.
   std::map<std::string, std::uint64_t> last_end_;
   std::vector<StartCommand> starts_;
+  std::vector<StopCommand> stops_;  ///< They get no response.
+  /// Responses to the next starts, which are executed if this says so or says nothing; later ones
+  /// are confirmed.
+  std::deque<CommandStatus> next_start_statuses_;
+  std::optional<RunnerClock> start_clock_;  ///< In the responses to starts.
   std::vector<AdviceRequest> advice_requests_;
   std::vector<PollRequest> polls_;
 
@@ -165,9 +172,16 @@
     for (const AppendRequest& append : outbox.appends) Store(append);
     for (const StartCommand& start : outbox.starts) {
       starts_.push_back(start);
-      running_[IdOf(start.runner)].push_back({start.task, start.run, "", 100, 0});
-      cell_->HandleStartResponse(start, {CommandStatus::kDone, {}}, Time());
+      CommandStatus status = CommandStatus::kDone;
+      if (!next_start_statuses_.empty()) {
+        status = next_start_statuses_.front();
+        next_start_statuses_.pop_front();
+      }
+      const bool executed = status == CommandStatus::kDone || status == CommandStatus::kNoResponse;
+      if (executed) running_[IdOf(start.runner)].push_back({start.task, start.run, "", 100, 0});
+      cell_->HandleStartResponse(start, {status, start_clock_}, Time());
     }
+    stops_.insert(stops_.end(), outbox.stops.begin(), outbox.stops.end());
     for (const PollRequest& poll : outbox.polls) RespondTo(poll);
     for (const AdviceRequest& request : outbox.advice_requests) advice_requests_.push_back(request);
   }
--- a/tests/platform/runner_gateway_test.cc
+++ b/tests/platform/runner_gateway_test.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <vector>
 
+#include "core/http_status.h"
 #include "net/async_http_server.h"
 #include "standin/task_runner.h"
 #include "tests/support/free_endpoint.h"
@@ -40,12 +41,28 @@
         &io_,
         [this](const HttpRequest& request, const HttpReply& reply) {
           served_.push_back(request);
+          if (silent_) return withheld_replies_.push_back(reply);
+          if (relay_error_) return reply(BareResponse(*relay_error_));
+          if (!IsMeantFor(request, present_id_)) {
+            return reply(BareResponse(http_status::kMisdirectedRequest));
+          }
           reply(runner_.Serve(request.target, request.body, clock_.Now()));
         },
         [] { return HttpServerLimits(); });
     REQUIRE(server_->Listen(listing_.endpoint).ok());
   }
 
+  static bool IsMeantFor(const HttpRequest& request, const std::string& id) {
+    return std::any_of(request.headers.begin(), request.headers.end(), [&](const auto& header) {
+      return header.first == "X-Wigeonlane-Target-Instance" && header.second == id;
+    });
+  }
+
+  void RunUntilServed(std::size_t count) {
+    io_.restart();
+    while (served_.size() < count) REQUIRE(io_.run_one_for(kTimeout) > 0);
+  }
+
   void Start(RunNumber run) {
     StartCommand command;
     command.task = *TaskId::Parse("00000000000000a1.0.0." + std::to_string(run));
@@ -84,6 +101,10 @@
   TaskRunner runner_{&ledger_};
   RunnerListing listing_;
   std::vector<HttpRequest> served_;  ///< By the present incarnation.
+  std::string present_id_ = "runner-0";
+  std::optional<int> relay_error_;           ///< Status code of all responses.
+  bool silent_ = false;                      ///< The runner does not respond.
+  std::vector<HttpReply> withheld_replies_;  ///< Keep their connections open.
   std::unique_ptr<AsyncHttpServer> server_;
   RunnerGateway gateway_{&io_, std::nullopt};
   std::vector<CommandStatus> outcomes_;
@@ -145,5 +166,18 @@
   CHECK(ServedWith("\"Spec\"") == 2 * kBurst);
 }
 
+// Guards against TWICE (issue 48): a restarted runner was taken for an address that another runner
+// has, where all incarnations have ended.
+TEST_CASE_METHOD(RunnerGatewayTest, "Start_AnotherIncarnationOrRunner_AreToldApart") {
+  StartServer(milliseconds(2'000));
+  Start(1);
+  RunUntilOutcomes(1);
+  CHECK(outcomes_.back() == CommandStatus::kWrongIncarnation);
+  present_id_ = "runner-1";
+  Start(2);
+  RunUntilOutcomes(2);
+  CHECK(outcomes_.back() == CommandStatus::kWrongRunner);
+}
+
 }  // namespace
 }  // namespace wigeonlane
