--- a/cells/stray_leases.cc
+++ b/cells/stray_leases.cc
@@ -35,7 +35,7 @@
   if (found == bounds_.end() || listing.started_at <= found->second.addressed) return {};
   Bound& bound = found->second;
   bound.contacted = listing.started_at;
-  bound.end = bound.contacted_end = std::min(bound.end, limit);
+  bound.contacted_end = std::min(bound.end, limit);
   bound.stored = true;
   return bound.contacted_end;
 }
--- a/tests/cells/cell_stray_start_test.cc
+++ b/tests/cells/cell_stray_start_test.cc
@@ -314,5 +314,29 @@
   CHECK(StartsOnSpare() == 1);
 }
 
+/// Bounds of leases on later incarnations.
+class StrayLeasesTest {
+ protected:
+  static RunnerListing Incarnation(milliseconds started_at) {
+    RunnerListing listing;
+    listing.id = "runner-0";
+    listing.started_at = started_at;
+    return listing;
+  }
+
+  StrayLeases leases_;
+};
+
+// Guards against TWICE: the call to an incarnation shortened the bound for the next one, which
+// commands to the first one may still reach.
+TEST_CASE_METHOD(StrayLeasesTest, "Limit_CalledIncarnationIsReplaced_BoundOfTheNextOneIsNotLower") {
+  const Instant now{std::chrono::hours(1)};
+  leases_.Add(Incarnation(milliseconds(1)), now + milliseconds(23'000));
+  CHECK(leases_.Limit(Incarnation(milliseconds(2)), now + milliseconds(10'000)) ==
+        now + milliseconds(10'000));
+  CHECK(leases_.Limit(Incarnation(milliseconds(3)), now + milliseconds(15'000)) ==
+        now + milliseconds(15'000));
+}
+
 }  // namespace
 }  // namespace wigeonlane
