--- a/cells/cell.h
+++ b/cells/cell.h
@@ -353,6 +353,7 @@
   void HandleReportedRun(Runner* runner, const ReportedRun& reported, CellTime time);
   void FreeVanishedRuns(Runner* runner, const RunnerReport& report, EventNumber poll,
                         CellTime time);
+  void ReplaceByEarlierRun(Runner* runner, const TaskId& task, RunNumber earlier, Instant now);
   void HandleStrayStartResponse(const StartCommand& command, CommandOutcome outcome, CellTime time);
   void UpdatePace(Runner* runner, const RunnerReport& report);
   std::chrono::milliseconds PauseBeforePoll(const Runner& runner) const;
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -243,6 +243,10 @@
   for (const TaskId& task : vanished) FreeTask(runner, task, "no longer reported", time);
   for (const TaskId& task : refused) {
     const LiveRun run = runner->runs.at(task);
+    if (const auto earlier = running.find(task); earlier != running.end()) {
+      ReplaceByEarlierRun(runner, task, earlier->second, time.now);
+      continue;
+    }
     if (!run.start_confirmed_at) {
       RecordUnacknowledgedStart(runner->listing.id, task, run.run, run.start_sent_at);
     }
@@ -251,6 +255,19 @@
   }
 }
 
+/// Stops an earlier run of a task whose last start was not executed. The task remains placed until
+/// that run has ended.
+void Cell::ReplaceByEarlierRun(Runner* runner, const TaskId& task, RunNumber earlier, Instant now) {
+  LiveRun run = runner->runs.at(task);
+  run.run = earlier;
+  run.executed_here = true;
+  run.stray_until.reset();
+  run.known_since = ++last_event_;
+  run.stop_pending = run.stop_confirmed = false;
+  AddRun(runner, task, run);
+  RequestStop(runner, task, now);
+}
+
 void Cell::UpdatePace(Runner* runner, const RunnerReport& report) {
   double worst_ratio = 0;
   bool has_best_effort = false;
--- a/tests/cells/cell_stray_start_test.cc
+++ b/tests/cells/cell_stray_start_test.cc
@@ -269,6 +269,41 @@
   CHECK(StartsOnSpare() == 0);
 }
 
+// Guards against TWICE: the report of the next incarnation lists an earlier run of a task whose
+// last start it did not execute, and the task was placed again beside that run.
+TEST_CASE_METHOD(StrayStartTest, "Restart_NextIncarnationRunsAnEarlierStart_IsStoppedFirst") {
+  draining_.insert(Spare());
+  Begin(kRunners, kCapacity);
+  AdvanceTime(milliseconds(300));
+  StepSpec step;
+  step.need = kHalf;
+  next_start_statuses_ = {CommandStatus::kNoResponse};
+  Submit(step);
+  AdvanceTime(milliseconds(20));
+  REQUIRE(starts_.size() == 1);
+  const auto earlier = running_[Restarting()];
+  running_[Restarting()].clear();
+  REQUIRE(!stops_.empty());
+  cell_->HandleStopResponse(stops_.back(), {CommandStatus::kDone, {}}, Time());
+  AdvanceTime(milliseconds(150));
+  REQUIRE(RestartingRunner().runs.empty());
+  down_.insert(Restarting());
+  AdvanceTime(milliseconds(300));
+  REQUIRE(starts_.size() == 2);
+  RestartUnnoticed();
+  running_[Restarting()] = earlier;
+  draining_.erase(Spare());
+  ListRunners(kRunners, kCapacity);
+  BringIntoReach();
+  for (milliseconds passed{0}; passed < milliseconds(3'000); passed += milliseconds(5)) {
+    AdvanceTime(milliseconds(5));
+    for (const StopCommand& stop : std::exchange(stops_, {})) {
+      cell_->HandleStopResponse(stop, {CommandStatus::kDone, {}}, Time());
+    }
+  }
+  CHECK(StartsOnSpare() == 0);
+}
+
 // Guards against TWICE: an entry that is updated in place counts as registered, although the stored
 // record names the address of the earlier incarnation.
 TEST_CASE_METHOD(StrayStartTest, "Takeover_NextIncarnationAtOtherAddress_NoStartBeforeItsRecord") {
