--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -356,7 +356,11 @@
   PollRequest poll;
   poll.runner = runner->key;
   poll.number = ++last_event_;
-  poll.forget_up_to = runner->stored_result;
+  // A later incarnation that receives the poll forgets its own results, so it names no more than
+  // necessary.
+  if (runner->stored_result > runner->acknowledged_result) {
+    poll.forget_up_to = runner->stored_result;
+  }
   // A poll may extend the lease even if it gets no response. An unresponsive runner is therefore
   // polled without a lease, so that its lease ends and its tasks can be placed elsewhere.
   if (runner->claimed && !runner->leases_barred && runner->failed_polls == 0 &&
--- a/tests/cells/cell_stray_start_test.cc
+++ b/tests/cells/cell_stray_start_test.cc
@@ -197,6 +197,18 @@
   CHECK(StartsOnSpare() == 0);
 }
 
+// Guards against a result that is lost: a poll that acknowledges it again may reach the next
+// incarnation, which forgets its own results up to that number.
+TEST_CASE_METHOD(StrayStartTest, "Poll_ResultIsAcknowledged_IsNotAcknowledgedAgain") {
+  StartTasks({CommandStatus::kDone, CommandStatus::kDone});
+  BringIntoReach();
+  AdvanceTime(milliseconds(3'000));
+  EndOldest(Restarting());
+  AdvanceTime(kReactionTime);
+  REQUIRE(results_[Restarting()].empty());
+  CHECK(polls_.back().forget_up_to == 0);
+}
+
 // Guards against tasks that wait: another runner at the address proves that all incarnations there
 // have ended.
 TEST_CASE_METHOD(StrayStartTest, "Start_AnotherRunnerAtItsAddress_AllTasksStartElsewhereAtOnce") {
