--- a/cells/cell.h
+++ b/cells/cell.h
@@ -244,6 +244,7 @@
 
   /// A machine that was released to go down, whatever happens to its runner meanwhile.
   struct MachineRelease {
+    RunnerKey runner = kNoRunner;  ///< The incarnation that was present.
     Instant reserved_until{};
     Instant resolved_at{};  ///< See `ReleaseResolvedAt`.
   };
--- a/cells/cell_reservations.cc
+++ b/cells/cell_reservations.cc
@@ -61,7 +61,8 @@
   runner->may_go_down_until = ReleaseResolvedAt(now);
   std::erase_if(machine_releases_,
                 [&](const auto& release) { return release.second.resolved_at <= now; });
-  machine_releases_[runner->listing.id] = {runner->reserved_until, runner->may_go_down_until};
+  machine_releases_[runner->listing.id] = {runner->key, runner->reserved_until,
+                                           runner->may_go_down_until};
 }
 
 /// Applies a release of the machine that an earlier incarnation of the runner was given.
@@ -153,9 +154,14 @@
 }
 
 void Cell::HandleMachineDown(const std::string& runner_id, CellTime time) {
+  const auto release = machine_releases_.find(runner_id);
+  const RunnerKey released =
+      release == machine_releases_.end() ? kNoRunner : release->second.runner;
   machine_releases_.erase(runner_id);
   const auto key = key_by_id_.find(runner_id);
   if (key == key_by_id_.end()) return;
+  // A later incarnation may have started after the machine came back.
+  if (released != kNoRunner && released != key->second) return;
   Runner* runner = FindRunner(key->second);
   ReplaceIncarnation(runner, runner->listing, LossReason::kMachineDown, time);
 }
--- a/tests/cells/cell_stray_start_test.cc
+++ b/tests/cells/cell_stray_start_test.cc
@@ -255,6 +255,28 @@
   CHECK(StartsOnSpare() == 1);
 }
 
+// Guards against TWICE: a notification that a machine went down arrived after the machine was back,
+// and ended the incarnation that had started since.
+TEST_CASE_METHOD(StrayStartTest, "MachineDown_RunnerIsBack_ItsTasksGoOn") {
+  draining_.insert(Spare());
+  Begin(kRunners, kCapacity);
+  AdvanceTime(milliseconds(300));
+  REQUIRE(cell_->ReserveRunner(Restarting(), Time()).verdict == CallVerdict::kReady);
+  RestartUnnoticed();
+  ListRunners(kRunners, kCapacity);
+  AdvanceTime(milliseconds(5'000));
+  StepSpec step;
+  step.need = kHalf;
+  Submit(step);
+  AdvanceTime(kReactionTime);
+  REQUIRE(running_[Restarting()].size() == 1);
+  cell_->HandleMachineDown(Restarting(), Time());
+  draining_.erase(Spare());
+  ListRunners(kRunners, kCapacity);
+  AdvanceTime(kReactionTime);
+  CHECK(StartsOnSpare() == 0);
+}
+
 // Guards against TWICE (issue 48): a poll without a response was executed late, on the incarnation
 // that ran a confirmed start, and extended the lease there beyond the one of the start.
 TEST_CASE_METHOD(StrayStartTest, "Silence_UnansweredPollExecutedLate_WaitsForTheLeaseItGrants") {
