--- a/tests/platform/runner_gateway_test.cc
+++ b/tests/platform/runner_gateway_test.cc
@@ -166,6 +166,21 @@
   CHECK(ServedWith("\"Spec\"") == 2 * kBurst);
 }
 
+// Guards against a restart that stays unnoticed (issue 48): a poll waited behind one of the earlier
+// incarnation, which never gets a response over a connection that outlives its runner.
+TEST_CASE_METHOD(RunnerGatewayTest, "Poll_EarlierOneGetsNoResponse_DoesNotWaitForIt") {
+  Poll({}, 0);
+  RunUntilOutcomes(1);
+  silent_ = true;
+  Poll(RunnerClock(3'600'000), 1);
+  RunUntilServed(2);
+  silent_ = false;
+  runner_.StartIncarnation(clock_.Now(), milliseconds(2'000));
+  Poll({}, 0);
+  RunUntilOutcomes(2);
+  CHECK(outcomes_.back() == CommandStatus::kDone);
+}
+
 // Guards against TWICE (issue 48): a restarted runner was taken for an address that another runner
 // has, where all incarnations have ended.
 TEST_CASE_METHOD(RunnerGatewayTest, "Start_AnotherIncarnationOrRunner_AreToldApart") {
