--- a/tests/platform/runner_gateway_test.cc
+++ b/tests/platform/runner_gateway_test.cc
@@ -194,5 +194,15 @@
   CHECK(outcomes_.back() == CommandStatus::kWrongRunner);
 }
 
+// Guards against TWICE: the error of a relay that had passed a start on was taken for a refusal.
+TEST_CASE_METHOD(RunnerGatewayTest, "Start_RelayRespondsWithAnError_MayHaveBeenExecuted") {
+  Start(1);
+  RunUntilOutcomes(1);
+  relay_error_ = http_status::kGatewayTimeout;
+  Start(2);
+  RunUntilOutcomes(2);
+  CHECK(outcomes_.back() == CommandStatus::kNoResponse);
+}
+
 }  // namespace
 }  // namespace wigeonlane
