--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-CellWorld::CellWorld() : now_(Duration(std::chrono::hours(1))) {
+CellWorld::CellWorld() : now_(Duration(std::chrono::hours(1))), hidden_restarts_(kRunners) {
   for (std::size_t i = 0; i < kRunners; ++i) {
     RunnerListing listing;
     listing.id = "runner-" + std::to_string(i);
@@ -217,6 +217,13 @@
   return AppendResult::kStored;
 }
 
+std::size_t CellWorld::IndexOf(const std::string& runner_id) const {
+  const auto found = std::find_if(runners_.begin(), runners_.end(), [&](const SimRunner& runner) {
+    return runner.listing.id == runner_id;
+  });
+  return static_cast<std::size_t>(found - runners_.begin());
+}
+
 bool CellWorld::IsCut(std::size_t owner, const SimRunner& runner) const {
   if (now_ < runner.cut_until) return true;
   const auto cut = one_sided_cuts_.find(runner.listing.id);
@@ -230,6 +237,10 @@
   if (listed == nullptr) return;
   const std::string id = listed->listing.id;
   const bool late = delayed_commands_ > 0 && delayed_commands_-- > 0;
+  if (relayed_ && !late) {
+    return RelayStart(ChooseCommandConnection(index, IndexOf(id)), listed->listing.started_at,
+                      fence, command);
+  }
   mix_ = Mix(mix_ + command.run);
   const milliseconds delay = late ? kMinLateDelay + milliseconds(mix_ % 10'000) : milliseconds(1);
   auto has_responded = std::make_shared<bool>(false);
@@ -264,7 +275,8 @@
       const StepSpec& step = job->record.spec.steps[command.task.step];
       if (!late && runner.listing.started_at == known) runner.RecordAddressed();
       const CommandStatus result =
-          runner.Start(fence, command, step, OutcomeOf(command, step), late, now_, &oracle_);
+          runner.Start(fence, command, step, OutcomeOf(command, step),
+                       late ? StartDelivery::kLate : StartDelivery::kTimely, now_, &oracle_);
       const RunnerClock clock = runner.Clock(now_);
       if (!late) After(milliseconds(1), [respond, result, clock] { respond({result, clock}); });
     }
@@ -278,6 +290,9 @@
   const std::string id = listed->listing.id;
   const milliseconds known = listed->listing.started_at;
   const bool late = delayed_commands_ > 0 && delayed_commands_-- > 0;
+  if (relayed_ && !late) {
+    return RelayStop(ChooseCommandConnection(index, IndexOf(id)), known, fence, command);
+  }
   auto has_responded = std::make_shared<bool>(false);
   const auto respond = [this, index, command, has_responded](CommandOutcome outcome) {
     if (std::exchange(*has_responded, true)) return;
@@ -305,6 +320,10 @@
   const Runner* listed = std::as_const(*owners_[index]->cell).FindRunner(request.runner);
   if (listed == nullptr) return;
   const std::string id = listed->listing.id;
+  if (relayed_) {
+    return RelayPoll({index, IndexOf(id), kPollConnection}, listed->listing.started_at,
+                     owners_[index]->cell->FenceOf(request.runner), request);
+  }
   for (std::size_t i = 0; i < runners_.size(); ++i) {
     if (runners_[i].listing.id != id) continue;
     const milliseconds started_at = runners_[i].listing.started_at;
@@ -370,8 +389,13 @@
 
 std::vector<RunnerListing> CellWorld::Listings() const {
   std::vector<RunnerListing> listings;
-  for (const SimRunner& runner : runners_) {
-    if (runner.alive) listings.push_back(runner.listing);
+  for (std::size_t i = 0; i < runners_.size(); ++i) {
+    const HiddenRestart& hidden = hidden_restarts_[i];
+    if (now_ < hidden.until) {
+      if (hidden.shown) listings.push_back(*hidden.shown);
+    } else if (runners_[i].alive) {
+      listings.push_back(runners_[i].listing);
+    }
   }
   return listings;
 }
@@ -430,11 +454,16 @@
 void CellWorld::Freeze(milliseconds duration) { owners_.back()->frozen_until = now_ + duration; }
 
 void CellWorld::CrashRunner(std::size_t which) {
-  runners_[which % runners_.size()].Crash(&oracle_);
+  const std::size_t index = which % runners_.size();
+  if (relayed_ && runners_[index].alive) HideCrash(index);
+  runners_[index].Crash(&oracle_);
 }
 
 void CellWorld::RestartRunner(std::size_t which) {
-  runners_[which % runners_.size()].Restart(now_, &oracle_);
+  const std::size_t index = which % runners_.size();
+  runners_[index].Restart(now_, &oracle_);
+  hidden_restarts_[index] = {};
+  if (relayed_) ReopenRelay(index);
 }
 
 void CellWorld::CutRunner(std::size_t which, milliseconds duration) {
@@ -474,6 +503,12 @@
   owners_.back()->store_cut_until = now_ + duration;
 }
 
+std::size_t CellWorld::long_running_jobs() const {
+  return static_cast<std::size_t>(
+      std::count_if(submitted_.begin(), submitted_.end(),
+                    [](const Submitted& job) { return job.record.spec.steps[0].long_running; }));
+}
+
 bool CellWorld::CancelAcknowledged(std::size_t job) const {
   return oracle_.WasCancelled(submitted_[job].id);
 }
@@ -491,11 +526,12 @@
 
 void CellWorld::EndFaultsAndCheck() {
   delayed_commands_ = delayed_polls_ = lost_append_responses_ = delayed_submissions_ =
-      late_appends_ = 0;
-  for (SimRunner& runner : runners_) {
-    runner.listing.draining = false;
-    if (!runner.alive) runner.Restart(now_, &oracle_);
+      late_appends_ = lost_responses_ = held_up_polls_ = 0;
+  for (std::size_t i = 0; i < runners_.size(); ++i) {
+    runners_[i].listing.draining = false;
+    if (!runners_[i].alive) RestartRunner(i);
   }
+  ListRestarts();
   Advance(kRecoveryTime);
   for (const Submitted& job : submitted_) {
     oracle_.CheckRefused(job.id);
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -3,6 +3,7 @@
 #define WIGEONLANE_TESTS_CELLS_CELL_WORLD_H_
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -72,6 +73,23 @@
   void CrashRunner(std::size_t which);
   /// Starts a new incarnation with the same id and without state.
   void RestartRunner(std::size_t which);
+
+  /// From now on connections lead to the runners through a relay that outlives them. What is sent
+  /// over a connection to an earlier incarnation reaches the one that is alive when it arrives.
+  /// While the runner is down, it waits for the next one, for 2 s at most. Some connections are
+  /// reset at a restart.
+  void RelayConnections() { relayed_ = true; }
+  /// Starts a new incarnation that discovery lists after `lag`. Until then it keeps the entry of
+  /// the earlier one, if it has not expired.
+  void RestartRunnerUnlisted(std::size_t which, std::chrono::milliseconds lag);
+  /// Discovery lists all runners that are alive.
+  void ListRestarts();
+  /// All owners can reach all runners that are alive.
+  void EndCuts();
+  /// The next `count` calls that the relay carries are executed, and their responses are lost.
+  void LoseResponses(std::size_t count) { lost_responses_ = count; }
+  /// The relay holds up the next `count` polls or their responses by `delay`; commands pass.
+  void HoldUpPolls(std::size_t count, std::chrono::milliseconds delay);
   void CutRunner(std::size_t which, std::chrono::milliseconds duration);
   /// Owners that start after the present one cannot reach the runner; the present one can.
   void CutRunnerFromSuccessors(std::size_t which, std::chrono::milliseconds duration);
@@ -95,6 +113,8 @@
   void EndFaultsAndCheck();
 
   std::size_t jobs() const { return submitted_.size(); }
+  /// Number of submitted jobs whose tasks run until the job is cancelled.
+  std::size_t long_running_jobs() const;
   /// Whether a cancel of the job was answered with 2xx or 410.
   bool CancelAcknowledged(std::size_t job) const;
   /// Returns the index of the runner of each present run of a job.
@@ -103,6 +123,9 @@
 
  private:
   static constexpr std::string_view kService = "press";
+  /// Connections of an owner to a runner: those for commands have the numbers below, that for polls
+  /// has this one.
+  static constexpr std::size_t kPollConnection = 3;
 
   struct Submission {
     JobId job;
@@ -152,6 +175,34 @@
     JobRecord record;
   };
 
+  /// One connection of an owner to a runner through the relay.
+  struct RelayedConnection {
+    std::size_t owner = 0;
+    std::size_t runner = 0;
+    std::size_t number = 0;  ///< See `kPollConnection`.
+
+    auto operator<=>(const RelayedConnection&) const = default;
+  };
+
+  /// A call on such a connection.
+  struct RelayedCall {
+    RelayedConnection connection;
+    Instant sent_at{};
+    bool ended = false;  ///< The owner has the response, or has given the call up.
+    std::chrono::milliseconds response_delay{1};
+    /// Executes the call on the incarnation that it reaches.
+    std::function<void(const std::shared_ptr<RelayedCall>&, SimRunner*)> execute;
+    /// Tells the owner that there is no response.
+    std::function<void(Owner*)> fail;
+  };
+  using RelayedCallPtr = std::shared_ptr<RelayedCall>;
+
+  /// What discovery shows of a runner in place of its state.
+  struct HiddenRestart {
+    std::optional<RunnerListing> shown;
+    Instant until{};
+  };
+
   CellTime Time() const;
   void At(Instant time, std::function<void()> action);
   void After(std::chrono::milliseconds delay, std::function<void()> action);
@@ -175,7 +226,33 @@
   void SendLatePoll(std::size_t owner, std::size_t runner, FenceToken fence,
                     const PollRequest& request);
   void AnswerPoll(std::size_t owner, const PollRequest& request, const PendingPoll& poll);
+  std::size_t IndexOf(const std::string& runner_id) const;
   bool IsCut(std::size_t owner, const SimRunner& runner) const;
+  RelayedConnection ChooseCommandConnection(std::size_t owner, std::size_t runner);
+  void RelayStart(const RelayedConnection& connection, std::chrono::milliseconds known,
+                  FenceToken fence, const StartCommand& command);
+  /// Relays a start over a connection that is labelled with the intended incarnation.
+  void RelayVerifiedStart(const RelayedConnection& connection, std::chrono::milliseconds known,
+                          FenceToken fence, const StartCommand& command);
+  void RelayStop(const RelayedConnection& connection, std::chrono::milliseconds known,
+                 FenceToken fence, const StopCommand& command);
+  void RelayPoll(const RelayedConnection& connection, std::chrono::milliseconds known,
+                 FenceToken fence, const PollRequest& request);
+  void AnswerRelayedPoll(const RelayedCallPtr& call, const PollRequest& request, bool verified,
+                         std::chrono::milliseconds received_by, Instant until);
+  /// Sends a call, which the owner gives up after `timeout`; it then closes the connection.
+  void SendOverRelay(const RelayedCallPtr& call, std::chrono::milliseconds delay,
+                     std::chrono::milliseconds timeout);
+  void DeliverRelayed(const RelayedCallPtr& call);
+  void RespondOverRelay(const RelayedCallPtr& call, std::function<void(Owner*)> handle);
+  /// Tells the owner how a call ended, unless it knows already.
+  void EndRelayedCall(const RelayedCallPtr& call, const std::function<void(Owner*)>& handle);
+  /// Resets some connections to a runner that has restarted, and delivers what waits on the others.
+  void ReopenRelay(std::size_t runner);
+  /// Discovery keeps the entry of a runner that has crashed until it expires.
+  void HideCrash(std::size_t runner);
+  /// Returns a number below `bound` that varies deterministically.
+  std::uint64_t Draw(std::uint64_t bound);
   std::vector<RunnerListing> Listings() const;
   void ListRunners();
   /// Index of the owner that a call reaches; see `Submit`.
@@ -204,6 +281,15 @@
   std::map<std::pair<std::size_t, std::size_t>, std::chrono::milliseconds> connections_;
   /// The same for command connections, by owner and runner id.
   std::map<std::pair<std::size_t, std::string>, std::chrono::milliseconds> command_connections_;
+  bool relayed_ = false;
+  /// Incarnation that responded last on a connection through the relay; none once it is closed.
+  std::map<RelayedConnection, std::chrono::milliseconds> relayed_labels_;
+  std::vector<RelayedCallPtr> open_calls_;      ///< Sent, without a response so far.
+  std::vector<RelayedCallPtr> waiting_calls_;   ///< Their runners are down.
+  std::vector<HiddenRestart> hidden_restarts_;  ///< By runner index.
+  std::size_t lost_responses_ = 0;
+  std::size_t held_up_polls_ = 0;
+  std::chrono::milliseconds hold_up_{0};
   std::optional<std::chrono::milliseconds> observation_delay_{0};
   std::size_t holder_ = 0;    ///< Index of the owner whose renewals are confirmed.
   TermToken generation_ = 0;  ///< Token of an owner that starts in the present generation.
--- a/tests/cells/sim_runner.h
+++ b/tests/cells/sim_runner.h
@@ -18,6 +18,13 @@
   bool fails = false;
 };
 
+/// How a start reached the runner.
+enum class StartDelivery : std::uint8_t {
+  kTimely,
+  kLate,     ///< Executed by the platform seconds after it was sent.
+  kRelayed,  ///< Meant for an earlier incarnation, and led to this one by a relay.
+};
+
 class SimRunner {
  public:
   struct Run {
@@ -27,6 +34,7 @@
     Resources load;
     std::uint32_t gang_size = 0;  ///< Members of the gang; 0 if the task is in none.
     RunnerClock duration{0};
+    bool relayed = false;  ///< See `StartDelivery`.
   };
   using Runs = std::map<TaskId, Run>;
 
@@ -65,7 +73,9 @@
   }
 
   CommandStatus Start(FenceToken fence, const StartCommand& command, const StepSpec& step,
-                      TaskOutcome outcome, bool late, Instant now, JobOracle* oracle) {
+                      TaskOutcome outcome, StartDelivery delivery, Instant now, JobOracle* oracle) {
+    const bool late = delivery == StartDelivery::kLate;
+    const bool relayed = delivery == StartDelivery::kRelayed;
     Advance(now, oracle);
     if (fence < fence_) return CommandStatus::kFenced;
     fence_ = fence;
@@ -81,13 +91,20 @@
     if (running != runs_.end() || command.run <= highest_run_[command.task]) {
       return CommandStatus::kOldRun;
     }
+    // The owner may not know the runs that it meant for an earlier incarnation. Without them, a
+    // start beyond the capacity is the owner's fault, which is checked below.
+    const Resources load = step.Load();
+    if (!late && !listing.capacity.Holds(UsedWith(load, true)) &&
+        (relayed || listing.capacity.Holds(UsedWith(load, false)))) {
+      return CommandStatus::kNoCapacity;
+    }
     oracle->Started(command.task, command.payload, late, now);
     // `SimGangs` ends the members of gangs.
     const RunnerClock ends = step.gang ? RunnerClock::max() : clock + outcome.duration;
     runs_[command.task] = {
-        command.run,     ends, outcome.fails, step.Load(), step.gang ? step.count : 0,
-        outcome.duration};
-    if (!late && !listing.capacity.Holds(Used())) oracle->Overfull(listing.id);
+        command.run,      ends,   outcome.fails, load, step.gang ? step.count : 0,
+        outcome.duration, relayed};
+    if (!late && !listing.capacity.Holds(UsedWith({}, true))) oracle->Overfull(listing.id);
     return CommandStatus::kDone;
   }
 
@@ -169,9 +186,12 @@
     return runs_.erase(run);
   }
 
-  Resources Used() const {
-    Resources used;
-    for (const auto& [task, run] : runs_) used += run.load;
+  /// Capacity in use beside a run of `load`, with or without the relayed runs.
+  Resources UsedWith(const Resources& load, bool count_relayed) const {
+    Resources used = load;
+    for (const auto& [task, run] : runs_) {
+      if (count_relayed || !run.relayed) used += run.load;
+    }
     return used;
   }
 
