--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -59,8 +59,10 @@
 
 JobInstance::JobInstance(PlatformSettings settings)
     : settings_(std::move(settings)),
-      store_(&io_, settings_.store, &metrics_),
-      runner_gateway_(&io_, settings_.advisor),
+      request_budget_(std::make_shared<ByteBudget>(settings_.max_buffered_bytes)),
+      response_budget_(std::make_shared<ByteBudget>(settings_.max_buffered_bytes)),
+      store_(&io_, settings_.store, &metrics_, response_budget_),
+      runner_gateway_(&io_, settings_.advisor, response_budget_),
       router_(&io_, settings_.peers,
               {[this](CellNumber cell) { return OwnerAddress(cell); },
                [this](CellCall call, std::function<void(CallResponse)> respond) {
@@ -97,16 +99,18 @@
                        std::chrono::milliseconds(0)},
                       [this](const std::set<std::string>& keys) { ApplyOperatorChanges(keys); }),
       runner_directory_(&io_, &store_, [this] { UpdateRunners(); }),
-      peer_server_(&io_,
-                   [this](const std::string& bytes, FrameServer::Reply reply) {
-                     router_.ServeFrame(bytes, std::move(reply));
-                   }),
+      peer_server_(
+          &io_,
+          [this](const std::string& bytes, FrameServer::Reply reply) {
+            router_.ServeFrame(bytes, std::move(reply));
+          },
+          request_budget_),
       caller_server_(
           &io_,
           [this](const HttpRequest& request, HttpReply reply) {
             caller_api_.Serve(request, std::move(reply));
           },
-          [this] { return caller_limits_; }),
+          [this] { return caller_limits_; }, request_budget_),
       readiness_server_(
           &io_,
           [this](const HttpRequest&, const HttpReply& reply) {
@@ -127,6 +131,7 @@
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       shutdown_timer_(io_),
       cell_assignment_timer_(io_) {
+  caller_limits_.max_connections = settings_.max_caller_connections;
   if (!settings_.machines) return;
   machines_ = std::make_unique<MachineClient>(&io_, *settings_.machines, &metrics_);
   MachineCoordinator::Options options;
@@ -229,6 +234,7 @@
   // Requests of queues that moved wait until a renewal has confirmed the version.
   if (!cells_.hosts().empty() && routes_.Assignments() != old_assignments) ownership_.RenewNow();
   caller_limits_ = config->limits;
+  caller_limits_.max_connections = settings_.max_caller_connections;
   services_.clear();
   std::vector<PoolConfig> pools;
   for (const ConfiguredService& service : config->services) {
@@ -378,6 +384,14 @@
       metrics_.SetGauge(Concat("wigeonlane_cell_", name), label, static_cast<double>(value));
     }
   }
+  metrics_.SetGauge("wigeonlane_buffered_bytes", "kind=\"requests\"",
+                    static_cast<double>(request_budget_->held()));
+  metrics_.SetGauge("wigeonlane_buffered_bytes", "kind=\"responses\"",
+                    static_cast<double>(response_budget_->held()));
+  metrics_.SetGauge("wigeonlane_connections_evicted", "kind=\"requests\"",
+                    static_cast<double>(request_budget_->evictions()));
+  metrics_.SetGauge("wigeonlane_connections_evicted", "kind=\"responses\"",
+                    static_cast<double>(response_budget_->evictions()));
   metrics_.SetGauge("wigeonlane_log_lines_dropped", "", static_cast<double>(DroppedLogLines()));
 }
 
--- a/daemon/job_instance.h
+++ b/daemon/job_instance.h
@@ -75,6 +75,8 @@
   BootClock clock_;
   asio::io_context io_;
   MetricsRegistry metrics_;
+  const std::shared_ptr<ByteBudget> request_budget_;   ///< Of callers and other instances.
+  const std::shared_ptr<ByteBudget> response_budget_;  ///< Of the store and the runners.
   StoreClient store_;
   RunnerGateway runner_gateway_;
   RouteTable routes_;
--- a/daemon/node.cc
+++ b/daemon/node.cc
@@ -70,7 +70,8 @@
                   clock_, &context_, &metrics_),
       front_end_({.listen = settings_.listen,
                   .request_id_prefix = incarnation_,
-                  .max_connections = settings_.max_connections},
+                  .max_connections = settings_.max_connections,
+                  .max_buffered_bytes = settings_.max_buffered_bytes},
                  {.serve =
                       [this](CallerRequest request, Responder respond) {
                         dispatcher_.Handle(std::move(request), std::move(respond));
--- a/daemon/node_settings.cc
+++ b/daemon/node_settings.cc
@@ -46,6 +46,8 @@
        "threads for callers' and peers' connections, which also send while few do, 1 to 512"},
       {"send-threads", "512", "most requests on runners at once, 1 to 8192"},
       {"most-connections", "4096", "most callers' connections, 1 to 100000"},
+      {"buffer-mb", "64",
+       "memory for unfinished requests and unread responses of all callers, 1 to 65536 MB"},
       {"order-appends", "300",
        "appends a second that order claims of all entry instances together may take, 1 to 100000"},
       {"platform-timeout", "2s", "longest wait for one answer of the platform, 10ms to 60s"},
@@ -67,6 +69,7 @@
   const auto io_threads = values.Integer("io-threads", 1, 512);
   const auto send_threads = values.Integer("send-threads", 1, 8192);
   const auto max_connections = values.Integer("most-connections", 1, 100'000);
+  const auto buffer_mb = values.Integer("buffer-mb", 1, 65'536);
   const auto order_appends = values.Integer("order-appends", 1, 100'000);
   const auto platform_timeout =
       values.Period("platform-timeout", milliseconds(10), milliseconds(60'000));
@@ -75,7 +78,7 @@
   const auto snapshot_interval_records = values.Integer("snapshot-every", 10, 10'000'000);
   for (const absl::Status& status :
        {listen.status(), admin.status(), peer.status(), platform.status(), seeds.status(),
-        io_threads.status(), send_threads.status(), max_connections.status(),
+        io_threads.status(), send_threads.status(), max_connections.status(), buffer_mb.status(),
         order_appends.status(), platform_timeout.status(), shutdown_wait.status(),
         snapshot_interval_records.status(),
         CheckOneOf(values, "log-level", {"trace", "debug", "info", "warn", "error", "off"}),
@@ -95,6 +98,7 @@
   settings.io_threads = static_cast<std::size_t>(*io_threads);
   settings.send_threads = static_cast<std::size_t>(*send_threads);
   settings.max_connections = static_cast<std::size_t>(*max_connections);
+  settings.max_buffered_bytes = static_cast<std::size_t>(*buffer_mb) << 20U;
   settings.order_appends_per_second = static_cast<double>(*order_appends);
   settings.platform_timeout = *platform_timeout;
   settings.shutdown_wait = *shutdown_wait;
--- a/daemon/node_settings.h
+++ b/daemon/node_settings.h
@@ -28,6 +28,7 @@
   std::size_t io_threads = 0;
   std::size_t send_threads = 0;
   std::size_t max_connections = 0;
+  std::size_t max_buffered_bytes = 0;
   double order_appends_per_second = 0;
   std::chrono::milliseconds platform_timeout{0};
   std::chrono::milliseconds shutdown_wait{0};
--- a/daemon/wigeonlaned_main.cc
+++ b/daemon/wigeonlaned_main.cc
@@ -1,5 +1,7 @@
 /// wigeonlaned: runs an entry instance between callers and backend servers, or with `jobs` an
 /// instance of the job service.
+#include <malloc.h>
+
 #include <atomic>
 #include <chrono>
 #include <csignal>
@@ -34,6 +36,16 @@
   return code;
 }
 
+/// Keeps memory that was freed after a flood of requests from staying with the process: the
+/// allocator otherwise has an arena for each of many threads, and returns bodies only from the end
+/// of an arena.
+void LimitRetainedMemory() {
+  constexpr int kArenas = 2;
+  constexpr int kMappedBytes = 64 * 1024;  // Below the size of a large body.
+  ::mallopt(M_ARENA_MAX, kArenas);
+  ::mallopt(M_MMAP_THRESHOLD, kMappedBytes);
+}
+
 /// Runs an instance of the job service. WIGEONLANE_NODE_FILE names its settings file.
 int RunJobInstance(bool check_only) {
   const char* path = std::getenv("WIGEONLANE_NODE_FILE");
@@ -69,6 +81,7 @@
     if (argc > 2 && !check_only) return Fail(kExitUsage, "jobs: allowed: --check-settings");
     return RunJobInstance(check_only);
   }
+  LimitRetainedMemory();
   std::signal(SIGTERM, OnSignal);
   std::signal(SIGINT, OnSignal);
   std::signal(SIGPIPE, SIG_IGN);
--- a/entry/caller_session.cc
+++ b/entry/caller_session.cc
@@ -9,20 +9,24 @@
 #include <asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <utility>
 
 #include "core/text.h"
+#include "net/http_body.h"
 
 namespace wigeonlane {
 namespace {
 
 namespace http = boost::beast::http;
 using asio::ip::tcp;
-using Parser = http::request_parser<http::string_body>;
+using Parser = http::request_parser<GrowingStringBody>;
 
 constexpr std::uint32_t kMaxHeaderBytes = 16 * 1024;
-constexpr std::size_t kReadBufferBytes = 16 * 1024;
+constexpr std::size_t kReadBufferBytes = 8 * 1024;
+/// A read adds at most its buffer to a header that is just within its limit.
+constexpr std::size_t kMaxUnparsedBytes = kMaxHeaderBytes + kReadBufferBytes;
+/// Seconds after which a caller may return whose request was dropped for want of memory.
+constexpr std::string_view kRetryAfterEviction = "3";
 constexpr std::uint64_t kMaxBodyBytesOfUnknownService = 64 * 1024;
 constexpr std::size_t kMaxIdempotencyKeyBytes = 512;
 constexpr std::string_view kServicePrefix = "/v1/services/";
@@ -71,6 +75,11 @@
 
   void Start() {
     auto self = shared_from_this();
+    account_.emplace(front_end_->budget, [weak = weak_from_this(), on = socket_.get_executor()] {
+      asio::post(on, [weak] {
+        if (const auto evicted = weak.lock()) evicted->Evict();
+      });
+    });
     asio::dispatch(socket_.get_executor(), [self] { self->BeginRequest(); });
   }
 
@@ -81,13 +90,31 @@
     parser_->body_limit(std::uint64_t{1} << 40);  // CheckHeader sets the service's limit.
     header_checked_ = false;
     request_ = CallerRequest();
+    evicted_ = false;
     SetTimer(unparsed_.empty() ? front_end_->options.idle_timeout
                                : front_end_->options.read_timeout);
     if (unparsed_.empty()) return Read();
     ParseReceived();
   }
 
+  /// Gives up the request or the response for which the connection holds memory. A request that has
+  /// begun to run is finished.
+  void Evict() {
+    if (serving_ || !socket_.is_open()) return;
+    evicted_ = true;
+    socket_.cancel();
+  }
+
+  void ReportHeldBytes() {
+    const std::size_t body = parser_ ? parser_->get().body().capacity() : 0;
+    const std::size_t held = unparsed_.capacity() + body + served_bytes_ + response_bytes_.size();
+    account_->Set(held, !serving_, SteadyClock().Now());
+  }
+
   void Read() {
+    ReportHeldBytes();
+    // The read before was complete when the eviction tried to cancel it.
+    if (evicted_) return OnReadError();
     socket_.async_read_some(
         asio::buffer(read_buffer_),
         [self = shared_from_this()](std::error_code error, std::size_t byte_count) {
@@ -102,6 +129,11 @@
 
   void OnReadError() {
     timer_.cancel();
+    if (std::exchange(evicted_, false) && !timed_out_) {
+      CallerResponse response = MakeNotRunResponse(503, "too much memory is held by requests");
+      response.headers.emplace_back(header::kRetryAfter, std::string(kRetryAfterEviction));
+      return Refuse(response);
+    }
     const bool request_incomplete = !unparsed_.empty() || parser_->got_some();
     if (timed_out_ && request_incomplete) return Reject(408, "the request did not arrive in time");
     std::error_code ignored;
@@ -117,9 +149,8 @@
       unparsed_.erase(0, used);
       if (error == http::error::need_more) {
         error = {};
-        if (unparsed_.size() > kMaxHeaderBytes && !parser_->is_header_done()) {
-          return Reject(431, "the header is too large");
-        }
+        const std::size_t limit = parser_->is_header_done() ? kMaxUnparsedBytes : kMaxHeaderBytes;
+        if (unparsed_.size() > limit) return Reject(431, "a line or the header is too large");
         break;
       }
       if (error) return RejectMalformed(error);
@@ -169,11 +200,16 @@
     Reject(400, "the request is malformed");
   }
 
-  void Reject(int code, std::string_view reason) {
+  void Reject(int code, std::string_view reason) { Refuse(MakeNotRunResponse(code, reason)); }
+
+  /// Refuses a request of which nothing has run, and closes the connection.
+  void Refuse(const CallerResponse& response) {
     keep_alive_ = false;
     is_head_request_ = false;
+    parser_.reset();
+    unparsed_ = {};
     request_.request_id = front_end_->NewRequestId();
-    Write(MakeNotRunResponse(code, reason));
+    Write(response);
   }
 
   void ServeRequest() {
@@ -191,6 +227,7 @@
       request_.headers.emplace_back(ToStdString(field.name_string()), ToStdString(field.value()));
     }
     request_.body = std::move(message.body());
+    served_bytes_ = request_.body.capacity();
     if (request_.idempotency_key.size() > kMaxIdempotencyKeyBytes) {
       return Write(MakeNotRunResponse(400, "Idempotency-Key: allowed: up to 512 characters"));
     }
@@ -204,6 +241,7 @@
     auto self = shared_from_this();
     std::string id = request_.request_id;
     serving_ = true;
+    ReportHeldBytes();
     front_end_->handlers.serve(std::move(request_), [self, id](const CallerResponse& response) {
       self->request_.request_id = id;
       self->RespondFromAnyThread(response);
@@ -222,6 +260,7 @@
     auto self = shared_from_this();
     asio::post(socket_.get_executor(), [self, bytes_sent] {
       self->serving_ = false;
+      self->served_bytes_ = 0;
       if (bytes_sent == self->response_bytes_.size()) return self->OnWritten({});
       self->WriteRemaining(bytes_sent);
     });
@@ -239,6 +278,7 @@
 
   void WriteRemaining(std::size_t bytes_sent) {
     SetTimer(front_end_->options.read_timeout);
+    ReportHeldBytes();
     asio::async_write(socket_, asio::buffer(response_bytes_) + bytes_sent,
                       [self = shared_from_this()](std::error_code error, std::size_t) {
                         self->OnWritten(error);
@@ -247,6 +287,7 @@
 
   void OnWritten(std::error_code error) {
     timer_.cancel();
+    response_bytes_ = {};
     if (!error && keep_alive_ && !front_end_->stopping) return BeginRequest();
     std::error_code ignored;
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
@@ -291,11 +332,14 @@
   std::string unparsed_;
   std::string response_bytes_;
   CallerRequest request_;
+  std::optional<ByteBudget::Account> account_;
+  std::size_t served_bytes_ = 0;  ///< Body of the request that is served.
   std::atomic<bool> serving_{false};
   bool header_checked_ = false;
   bool keep_alive_ = true;
   bool is_head_request_ = false;
   bool timed_out_ = false;
+  bool evicted_ = false;
 };
 
 }  // namespace
--- a/entry/caller_session.h
+++ b/entry/caller_session.h
@@ -16,6 +16,7 @@
 #include "core/settings.h"
 #include "core/text.h"
 #include "entry/caller_request.h"
+#include "net/byte_budget.h"
 
 namespace wigeonlane {
 
@@ -26,6 +27,8 @@
   std::size_t max_connections = 4096;              ///< Further connections get a 503.
   std::chrono::milliseconds read_timeout{10'000};  ///< To read one complete request.
   std::chrono::milliseconds idle_timeout{60'000};  ///< Between two requests.
+  /// Bytes that unfinished requests and unread responses of all connections may hold together.
+  std::size_t max_buffered_bytes = 64 << 20;
 };
 
 /// Callbacks from the front end into the rest of the process.
@@ -42,6 +45,7 @@
                 MetricsRegistry* metrics)
       : options(std::move(front_end_options)),
         handlers(std::move(front_end_handlers)),
+        budget(std::make_shared<ByteBudget>(options.max_buffered_bytes)),
         malformed(metrics->Counter("wigeonlane_malformed_requests_total")),
         rejected(metrics->Counter("wigeonlane_connections_rejected_total")) {}
 
@@ -49,6 +53,7 @@
 
   const FrontEndOptions options;
   const FrontEndHandlers handlers;
+  const std::shared_ptr<ByteBudget> budget;
   std::atomic<std::uint64_t>& malformed;
   std::atomic<std::uint64_t>& rejected;
   std::atomic<std::size_t> connections{0};
--- a/net/async_http_client.cc
+++ b/net/async_http_client.cc
@@ -9,12 +9,12 @@
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <utility>
 
 #include "core/boot_clock.h"
 #include "core/text.h"
+#include "net/http_body.h"
 #include "net/http_feed.h"
 
 namespace wigeonlane {
@@ -26,6 +26,10 @@
 constexpr std::size_t kReadBytes = 8 * 1024;
 /// A page of the store's list is at most 1 MB and a log page at most a few MB.
 constexpr std::uint64_t kMaxBodyBytes = 16 * 1024 * 1024;
+/// Longest line or block of trailers of a response. Headers are limited to 8 KB by the parser.
+constexpr std::size_t kMaxUnparsedBytes = 64 * 1024;
+/// Responses below this size are not reported to the budget until they are complete.
+constexpr std::size_t kReportedBytes = 64 * 1024;
 /// Bounds how long a connection stays open when the peer does not acknowledge sent bytes.
 constexpr std::chrono::milliseconds kUserTimeout{2'000};
 /// A request may spend 1/kQueueTimeDivisor of its timeout waiting for a connection.
@@ -121,6 +125,7 @@
     AsyncHttpClient* client = std::exchange(client_, nullptr);
     asio::error_code ignored;
     socket_.close(ignored);
+    account_.reset();
     if (client != nullptr) client->Drop(this);
     if (exchange != nullptr) exchange->Fail(reason);
     // The callback may have destroyed the client, which must not be accessed from here on.
@@ -128,6 +133,7 @@
 
   void Detach() {
     client_ = nullptr;
+    account_.reset();
     if (exchange_ != nullptr) exchange_->Abandon();
     exchange_ = nullptr;
     asio::error_code ignored;
@@ -184,10 +190,26 @@
 
   void Parse() {
     if (exchange_ == nullptr) return Break("server sent bytes without a request");
-    const auto error = FeedParser(&*parser_, &buffer_);
+    const auto error = FeedParser(&*parser_, &buffer_, kMaxUnparsedBytes);
     if (error) return Break("malformed response: " + error.message());
-    if (!parser_->is_done()) return Read();
-    Complete();
+    if (parser_->is_done()) return Complete();
+    ReportHeldBytes(buffer_.capacity() + parser_->get().body().capacity());
+    Read();
+  }
+
+  void ReportHeldBytes(std::size_t bytes) {
+    if (client_->budget_ == nullptr || (!account_ && bytes < kReportedBytes)) return;
+    if (!account_) {
+      account_.emplace(client_->budget_, [weak = weak_from_this(), io = client_->io_] {
+        asio::post(*io, [weak] {
+          const auto self = weak.lock();
+          if (self != nullptr && self->exchange_ != nullptr && self->account_) {
+            self->Break("the response exceeds the memory for responses");
+          }
+        });
+      });
+    }
+    account_->Set(bytes, true, BootClock().Now());
   }
 
   void Complete() {
@@ -196,6 +218,7 @@
     outcome.answer = HttpAnswer{static_cast<int>(message.result_int()), std::move(message.body())};
     outcome.execution = Execution::kRan;
     outcome.connection = number;
+    account_.reset();
     const bool keep_alive = message.keep_alive();
     auto exchange = std::exchange(exchange_, nullptr);
     exchange->response_received = true;
@@ -220,11 +243,16 @@
   std::shared_ptr<Exchange> exchange_;
   std::string buffer_;
   bool reading_ = false;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<GrowingStringBody>> parser_;
+  std::optional<ByteBudget::Account> account_;  ///< Of a large response that is not complete.
 };
 
-AsyncHttpClient::AsyncHttpClient(asio::io_context* io, Endpoint server, std::size_t max_connections)
-    : io_(io), server_(std::move(server)), max_connections_(max_connections) {}
+AsyncHttpClient::AsyncHttpClient(asio::io_context* io, Endpoint server, std::size_t max_connections,
+                                 std::shared_ptr<ByteBudget> budget)
+    : io_(io),
+      server_(std::move(server)),
+      max_connections_(max_connections),
+      budget_(std::move(budget)) {}
 
 AsyncHttpClient::~AsyncHttpClient() {
   for (const auto& connection : connections_) connection->Detach();
--- a/net/async_http_client.h
+++ b/net/async_http_client.h
@@ -14,6 +14,7 @@
 
 #include "core/clock.h"
 #include "core/settings.h"
+#include "net/byte_budget.h"
 #include "net/http_message.h"
 
 namespace wigeonlane {
@@ -26,7 +27,10 @@
 /// abandons all exchanges without calling their callbacks.
 class AsyncHttpClient {
  public:
-  AsyncHttpClient(asio::io_context* io, Endpoint server, std::size_t max_connections);
+  /// `budget` limits the bytes that responses hold until they are complete, together with the
+  /// budget's other holders; an exchange that exceeds it fails as if the connection had broken.
+  AsyncHttpClient(asio::io_context* io, Endpoint server, std::size_t max_connections,
+                  std::shared_ptr<ByteBudget> budget = nullptr);
   ~AsyncHttpClient();
   AsyncHttpClient(const AsyncHttpClient&) = delete;
   AsyncHttpClient& operator=(const AsyncHttpClient&) = delete;
@@ -79,6 +83,7 @@
   asio::io_context* io_;
   const Endpoint server_;
   const std::size_t max_connections_;
+  const std::shared_ptr<ByteBudget> budget_;
   std::vector<std::shared_ptr<Connection>> connections_;
   std::uint64_t last_connection_ = 0;  ///< Number of the connection opened last.
   std::deque<std::shared_ptr<Exchange>> queue_;
--- a/net/async_http_server.cc
+++ b/net/async_http_server.cc
@@ -6,15 +6,16 @@
 #include <asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <string>
 #include <unordered_set>
 #include <utility>
 
+#include "core/boot_clock.h"
 #include "core/http_status.h"
 #include "core/logging.h"
 #include "core/text.h"
+#include "net/http_body.h"
 #include "net/http_feed.h"
 
 namespace wigeonlane {
@@ -24,6 +25,9 @@
 using asio::ip::tcp;
 
 constexpr std::size_t kReadBytes = 4 * 1024;
+/// Seconds after which a client may return whose request was dropped for want of memory: the
+/// requests that hold the memory time out within that time.
+constexpr std::string_view kRetryAfterEviction = "3";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 std::string ToStdString(boost::beast::string_view text) { return {text.data(), text.size()}; }
@@ -52,6 +56,7 @@
   asio::io_context* io;
   Handler handler;
   Limits limits;
+  std::shared_ptr<ByteBudget> budget;
   bool draining = false;
   bool closed = false;
   std::size_t in_flight = 0;
@@ -65,6 +70,7 @@
   Session(tcp::socket socket, std::shared_ptr<Shared> shared)
       : socket_(std::move(socket)), timer_(*shared->io), shared_(std::move(shared)) {
     shared_->sessions.insert(this);
+    idle_since_ = BootClock().Now();
   }
 
   ~Session() { shared_->sessions.erase(this); }
@@ -74,10 +80,19 @@
   void Start() {
     asio::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    if (shared_->budget != nullptr) {
+      account_.emplace(shared_->budget, [weak = weak_from_this(), io = shared_->io] {
+        asio::post(*io, [weak] {
+          if (const auto self = weak.lock()) self->Evict();
+        });
+      });
+    }
     ReadNextRequest();
   }
 
-  bool idle() const { return !responding_ && buffer_.empty(); }
+  /// Whether no part of a request has been read.
+  bool idle() const { return phase_ == Phase::kReading && !request_begun_; }
+  Instant idle_since() const { return idle_since_; }
 
   void Close() {
     timer_.cancel();
@@ -86,6 +101,8 @@
   }
 
  private:
+  enum class Phase : std::uint8_t { kReading, kServing, kWriting };
+
   void ReadNextRequest() {
     const HttpServerLimits limits = shared_->limits();
     parser_.emplace();
@@ -93,7 +110,11 @@
     parser_->body_limit(limits.body_bytes);
     parser_->eager(true);
     continue_sent_ = false;
-    responding_ = false;
+    phase_ = Phase::kReading;
+    request_begun_ = !buffer_.empty();
+    if (!request_begun_ && buffer_.capacity() > 2 * kReadBytes) buffer_ = {};
+    idle_since_ = BootClock().Now();
+    ReportHeldBytes();
     StartTimer(buffer_.empty() ? limits.idle_timeout : limits.header_timeout);
     if (buffer_.empty()) {
       Read();
@@ -106,12 +127,36 @@
     timer_.expires_after(timeout);
     timer_.async_wait([weak = weak_from_this()](asio::error_code error) {
       const auto self = weak.lock();
-      if (error || self == nullptr || self->responding_) return;
-      if (self->idle()) return self->Close();
+      if (error || self == nullptr || self->phase_ == Phase::kServing) return;
+      if (self->idle() || self->phase_ == Phase::kWriting) return self->Close();
       self->Reject(http_status::kRequestTimeout);
     });
   }
 
+  /// Gives up the request or the response for which the connection holds memory. A request that has
+  /// begun to run is finished.
+  void Evict() {
+    if (phase_ == Phase::kServing || !socket_.is_open()) return;
+    LogInfo("connection_evicted", {{"bytes", Concat(HeldBytes())},
+                                   {"phase", phase_ == Phase::kReading ? "read" : "write"}});
+    if (phase_ == Phase::kWriting || idle()) return Close();
+    HttpResponse response;
+    response.code = http_status::kUnavailable;
+    response.headers.emplace_back("Retry-After", std::string(kRetryAfterEviction));
+    keep_alive_ = false;
+    WriteResponse(response);
+  }
+
+  std::size_t HeldBytes() const {
+    const std::size_t body = parser_ ? parser_->get().body().capacity() : 0;
+    return buffer_.capacity() + body + served_bytes_ + output_.capacity();
+  }
+
+  void ReportHeldBytes() {
+    if (!account_) return;
+    account_->Set(idle() ? 0 : HeldBytes(), phase_ != Phase::kServing, BootClock().Now());
+  }
+
   void Read() {
     const std::size_t filled = buffer_.size();
     buffer_.resize(filled + kReadBytes);
@@ -119,8 +164,8 @@
         asio::buffer(buffer_.data() + filled, kReadBytes),
         [self = shared_from_this(), filled](asio::error_code error, std::size_t count) {
           self->buffer_.resize(filled + count);
-          if (error || self->responding_) return self->Close();
-          if (filled == 0 && !self->parser_->got_some()) {
+          if (error || self->phase_ != Phase::kReading) return self->Close();
+          if (!std::exchange(self->request_begun_, true)) {
             self->StartTimer(self->shared_->limits().header_timeout);
           }
           self->Parse();
@@ -128,10 +173,13 @@
   }
 
   void Parse() {
-    if (const auto error = FeedParser(&*parser_, &buffer_)) {
+    // A read adds at most kReadBytes to a header that is just within its limit.
+    const std::size_t max_unparsed_bytes = shared_->limits().header_bytes + kReadBytes;
+    if (const auto error = FeedParser(&*parser_, &buffer_, max_unparsed_bytes)) {
       return Reject(StatusOfParseError(error));
     }
     if (parser_->is_done()) return Serve();
+    ReportHeldBytes();
     SendContinue();
     Read();
   }
@@ -140,14 +188,18 @@
     if (continue_sent_ || !parser_->is_header_done()) return;
     if (parser_->get()[http::field::expect] != "100-continue") return;
     continue_sent_ = true;
+    // The line fits into any socket buffer. A client that does not read it would not read the
+    // response either, so it is not waited for.
     asio::error_code ignored;
-    asio::write(socket_, asio::buffer(kContinue.data(), kContinue.size()), ignored);
+    socket_.non_blocking(true, ignored);
+    socket_.write_some(asio::buffer(kContinue.data(), kContinue.size()), ignored);
   }
 
   void Serve() {
     timer_.cancel();
-    responding_ = true;
+    phase_ = Phase::kServing;
     auto message = parser_->release();
+    parser_.reset();
     keep_alive_ = message.keep_alive();
     HttpRequest request;
     request.method = ToStdString(message.method_string());
@@ -157,17 +209,19 @@
       request.headers.emplace_back(ToStdString(field.name_string()), ToStdString(field.value()));
     }
     request.body = std::move(message.body());
+    served_bytes_ = request.body.capacity();
+    ReportHeldBytes();
     ++shared_->in_flight;
     shared_->handler(std::move(request), [self = shared_from_this(),
                                           replied = false](const HttpResponse& response) mutable {
       if (std::exchange(replied, true)) return;
       --self->shared_->in_flight;
+      self->served_bytes_ = 0;
       self->WriteResponse(response);
     });
   }
 
   void Reject(int code) {
-    responding_ = true;
     keep_alive_ = false;
     HttpResponse response;
     response.code = code;
@@ -175,11 +229,15 @@
   }
 
   void WriteResponse(const HttpResponse& response) {
+    phase_ = Phase::kWriting;
+    parser_.reset();
     const bool keep_open = keep_alive_ && !shared_->draining;
     output_ = FormatResponse(response, keep_open);
+    ReportHeldBytes();
+    StartTimer(shared_->limits().idle_timeout);
     asio::async_write(socket_, asio::buffer(output_),
                       [self = shared_from_this(), keep_open](asio::error_code error, std::size_t) {
-                        self->output_.clear();
+                        self->output_ = {};
                         if (error || !keep_open || self->shared_->closed) return self->Close();
                         self->ReadNextRequest();
                       });
@@ -190,17 +248,34 @@
   std::shared_ptr<Shared> shared_;
   std::string buffer_;
   std::string output_;
-  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::request_parser<GrowingStringBody>> parser_;
+  std::optional<ByteBudget::Account> account_;
+  std::size_t served_bytes_ = 0;  ///< Of the request that the handler has.
+  Phase phase_ = Phase::kReading;
+  Instant idle_since_{};
+  bool request_begun_ = false;
   bool keep_alive_ = true;
-  bool responding_ = false;
   bool continue_sent_ = false;
 };
 
-AsyncHttpServer::AsyncHttpServer(asio::io_context* io, Handler handler, Limits limits)
+AsyncHttpServer::AsyncHttpServer(asio::io_context* io, Handler handler, Limits limits,
+                                 std::shared_ptr<ByteBudget> budget)
     : shared_(std::make_shared<Shared>()) {
   shared_->io = io;
   shared_->handler = std::move(handler);
   shared_->limits = std::move(limits);
+  shared_->budget = std::move(budget);
+}
+
+bool AsyncHttpServer::CloseLongestIdle(Shared* shared) {
+  Session* longest = nullptr;
+  for (Session* session : shared->sessions) {
+    if (!session->idle()) continue;
+    if (longest == nullptr || session->idle_since() < longest->idle_since()) longest = session;
+  }
+  if (longest == nullptr) return false;
+  longest->Close();
+  return true;
 }
 
 AsyncHttpServer::~AsyncHttpServer() {
@@ -212,7 +287,10 @@
 
 absl::Status AsyncHttpServer::Listen(const Endpoint& address) {
   acceptor_ = std::make_shared<TcpAcceptor>(shared_->io, [shared = shared_](tcp::socket socket) {
-    if (shared->sessions.size() >= shared->limits().max_connections) return;
+    if (shared->sessions.size() >= shared->limits().max_connections &&
+        !CloseLongestIdle(shared.get())) {
+      return;
+    }
     std::make_shared<Session>(std::move(socket), shared)->Start();
   });
   return acceptor_->Listen(address);
--- a/net/async_http_server.h
+++ b/net/async_http_server.h
@@ -11,6 +11,7 @@
 
 #include "absl/status/status.h"
 #include "core/settings.h"
+#include "net/byte_budget.h"
 #include "net/http_message.h"
 #include "net/tcp_acceptor.h"
 
@@ -23,8 +24,10 @@
   std::uint64_t body_bytes = 256 * 1024;
   std::chrono::milliseconds header_timeout{
       3'000};  ///< From the first byte to the end of the request.
-  std::chrono::milliseconds idle_timeout{15'000};  ///< Between requests.
-  std::size_t max_connections = 2'000;             ///< Further connections are closed at once.
+  std::chrono::milliseconds idle_timeout{15'000};  ///< Between requests, and to read a response.
+  /// Beyond this number, the connection that has been idle longest is closed for a new one; without
+  /// an idle one, the new one is closed at once.
+  std::size_t max_connections = 2'000;
 };
 
 /// Serves requests with one handler. Not thread-safe.
@@ -33,7 +36,9 @@
   using Handler = std::function<void(HttpRequest, HttpReply)>;
   using Limits = std::function<HttpServerLimits()>;
 
-  AsyncHttpServer(asio::io_context* io, Handler handler, Limits limits);
+  /// `budget` limits the bytes that the connections hold, together with the budget's other holders.
+  AsyncHttpServer(asio::io_context* io, Handler handler, Limits limits,
+                  std::shared_ptr<ByteBudget> budget = nullptr);
   ~AsyncHttpServer();
   AsyncHttpServer(const AsyncHttpServer&) = delete;
   AsyncHttpServer& operator=(const AsyncHttpServer&) = delete;
@@ -51,6 +56,9 @@
   struct Shared;
   class Session;
 
+  /// Returns whether there was an idle connection.
+  static bool CloseLongestIdle(Shared* shared);
+
   std::shared_ptr<Shared> shared_;
   std::shared_ptr<TcpAcceptor> acceptor_;
 };
--- a/net/frame_link.cc
+++ b/net/frame_link.cc
@@ -2,17 +2,21 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
 #include <array>
 #include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
 #include <asio/read.hpp>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
 #include <cstdint>
 #include <cstring>
 #include <deque>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
+#include "core/boot_clock.h"
 #include "core/logging.h"
 #include "core/text.h"
 
@@ -24,6 +28,12 @@
 constexpr std::size_t kHeaderBytes = 12;
 /// The body of a job is at most a few hundred KB, so no instance sends a larger frame.
 constexpr std::uint32_t kMaxFrameBytes = 4 * 1024 * 1024;
+/// A frame takes memory in parts as its bytes arrive, not as the header announces.
+constexpr std::size_t kFramePartBytes = 64 * 1024;
+/// Responses that wait on one connection. A peer that reads none is disconnected.
+constexpr std::size_t kMaxWaitingBytes = 8 * 1024 * 1024;
+/// Connections to a server, one from each other instance; further ones are closed at once.
+constexpr std::size_t kMaxPeerConnections = 1'000;
 /// Bounds how long a connection stays open when the peer does not acknowledge sent bytes.
 constexpr std::chrono::milliseconds kUserTimeout{2'000};
 
@@ -55,13 +65,26 @@
 
   tcp::socket& socket() { return socket_; }
 
+  /// Reports the bytes that the stream holds to `budget`, which may end it.
+  void LimitBy(const std::shared_ptr<ByteBudget>& budget, asio::io_context* io) {
+    if (budget == nullptr) return;
+    account_.emplace(budget, [weak = weak_from_this(), io] {
+      asio::post(*io, [weak] {
+        if (const auto self = weak.lock()) self->End("holds too much memory");
+      });
+    });
+  }
+
   void Start() {
     SetOptions(&socket_);
     ReadHeader();
   }
 
   void Write(std::string frame) {
+    waiting_bytes_ += frame.size();
+    if (waiting_bytes_ > kMaxWaitingBytes) return End("the peer reads no responses");
     output_.push_back(std::move(frame));
+    ReportHeldBytes();
     if (output_.size() == 1) WriteNext();
   }
 
@@ -85,19 +108,35 @@
     std::uint32_t size = 0;
     std::memcpy(&size, header_.data(), sizeof(size));
     if (size > kMaxFrameBytes) return End("frame exceeds the size limit");
-    body_.resize(size);
-    asio::async_read(socket_, asio::buffer(body_),
-                     [self = shared_from_this()](asio::error_code error, std::size_t) {
+    ReadPart(size);
+  }
+
+  /// Reads the next part of a frame of `size` bytes.
+  void ReadPart(std::size_t size) {
+    const std::size_t filled = body_.size();
+    if (filled == size) return Deliver();
+    const std::size_t end = std::min(size, filled + kFramePartBytes);
+    if (end > body_.capacity()) body_.reserve(std::min(size, std::max(end, 2 * filled)));
+    body_.resize(end);
+    ReportHeldBytes();
+    asio::async_read(socket_, asio::buffer(body_.data() + filled, end - filled),
+                     [self = shared_from_this(), size](asio::error_code error, std::size_t) {
                        if (error) return self->End(error.message());
-                       self->Deliver();
+                       self->ReadPart(size);
                      });
   }
 
+  void ReportHeldBytes() {
+    if (account_) account_->Set(body_.capacity() + waiting_bytes_, true, BootClock().Now());
+  }
+
   void Deliver() {
     std::uint64_t call = 0;
     std::memcpy(&call, header_.data() + sizeof(std::uint32_t), sizeof(call));
     if (on_frame_ == nullptr) return;
-    on_frame_(call, std::exchange(body_, {}));
+    std::string body = std::exchange(body_, {});
+    ReportHeldBytes();
+    on_frame_(call, std::move(body));
     if (on_frame_ != nullptr) ReadHeader();
   }
 
@@ -105,7 +144,9 @@
     asio::async_write(socket_, asio::buffer(output_.front()),
                       [self = shared_from_this()](asio::error_code error, std::size_t) {
                         if (error) return self->End(error.message());
+                        self->waiting_bytes_ -= self->output_.front().size();
                         self->output_.pop_front();
+                        self->ReportHeldBytes();
                         if (!self->output_.empty()) self->WriteNext();
                       });
   }
@@ -122,6 +163,8 @@
   std::array<char, kHeaderBytes> header_{};
   std::string body_;
   std::deque<std::string> output_;
+  std::size_t waiting_bytes_ = 0;  ///< In `output_`.
+  std::optional<ByteBudget::Account> account_;
 };
 
 }  // namespace
@@ -252,7 +295,10 @@
 namespace {
 
 /// Serves one connection from another instance. The pending read keeps the stream alive.
-void ServeConnection(tcp::socket socket, const std::shared_ptr<FrameServer::Handler>& handler) {
+void ServeConnection(tcp::socket socket, asio::io_context* io,
+                     const std::shared_ptr<FrameServer::Handler>& handler,
+                     const std::shared_ptr<ByteBudget>& budget,
+                     const std::shared_ptr<std::size_t>& connections) {
   const auto self = std::make_shared<std::weak_ptr<FrameStream>>();
   const auto stream = std::make_shared<FrameStream>(
       std::move(socket),
@@ -261,25 +307,32 @@
           if (const auto open = to.lock()) open->Write(EncodeFrame(call, response));
         });
       },
-      [](const std::string& reason) {
+      [connections](const std::string& reason) {
+        --*connections;
         LogInfo("peer_connection_ended", {{"why", reason}});
       });
+  ++*connections;
   *self = stream;
+  stream->LimitBy(budget, io);
   stream->Start();
 }
 
 }  // namespace
 
-FrameServer::FrameServer(asio::io_context* io, Handler handler)
-    : io_(io), handler_(std::make_shared<Handler>(std::move(handler))) {}
+FrameServer::FrameServer(asio::io_context* io, Handler handler, std::shared_ptr<ByteBudget> budget)
+    : io_(io),
+      handler_(std::make_shared<Handler>(std::move(handler))),
+      budget_(std::move(budget)) {}
 
 FrameServer::~FrameServer() {
   if (acceptor_ != nullptr) acceptor_->Close();
 }
 
 absl::Status FrameServer::Listen(const Endpoint& address) {
-  acceptor_ = std::make_shared<TcpAcceptor>(io_, [handler = handler_](tcp::socket socket) {
-    ServeConnection(std::move(socket), handler);
+  acceptor_ = std::make_shared<TcpAcceptor>(io_, [io = io_, handler = handler_, budget = budget_,
+                                                  connections = connections_](tcp::socket socket) {
+    if (*connections >= kMaxPeerConnections) return;
+    ServeConnection(std::move(socket), io, handler, budget, connections);
   });
   return acceptor_->Listen(address);
 }
--- a/net/frame_link.h
+++ b/net/frame_link.h
@@ -14,6 +14,7 @@
 #include "absl/status/statusor.h"
 #include "core/settings.h"
 #include "core/verdict.h"
+#include "net/byte_budget.h"
 #include "net/tcp_acceptor.h"
 
 namespace wigeonlane {
@@ -54,7 +55,8 @@
   using Reply = std::function<void(std::string)>;
   using Handler = std::function<void(std::string bytes, Reply)>;
 
-  FrameServer(asio::io_context* io, Handler handler);
+  /// `budget` limits the bytes that connections hold, together with the budget's other holders.
+  FrameServer(asio::io_context* io, Handler handler, std::shared_ptr<ByteBudget> budget = nullptr);
   ~FrameServer();
   FrameServer(const FrameServer&) = delete;
   FrameServer& operator=(const FrameServer&) = delete;
@@ -65,6 +67,8 @@
  private:
   asio::io_context* io_;
   std::shared_ptr<Handler> handler_;
+  std::shared_ptr<ByteBudget> budget_;
+  std::shared_ptr<std::size_t> connections_ = std::make_shared<std::size_t>(0);
   std::shared_ptr<TcpAcceptor> acceptor_;
 };
 
--- a/tests/net/net_test.cc
+++ b/tests/net/net_test.cc
@@ -119,6 +119,50 @@
   CHECK(answer.starts_with("HTTP/1.1 408"));
 }
 
+/// Fails if a client keeps all that a server sends: trailers that never end.
+TEST_CASE_METHOD(NetTest, "HttpClient_TrailersWithoutEnd_FailsWithoutReadingOn") {
+  tcp::acceptor acceptor(io_, tcp::endpoint(asio::ip::make_address(at_.host), at_.port));
+  tcp::socket socket(io_);
+  std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+  constexpr std::size_t kAnswerBytes = 32 * 1024 * 1024;
+  while (answer.size() < kAnswerBytes) answer += "X-Trailer: 0123456789abcdef\r\n";
+  std::optional<std::size_t> written;
+  acceptor.async_accept(socket, [&](asio::error_code) {
+    asio::async_write(socket, asio::buffer(answer),
+                      [&](asio::error_code, std::size_t count) { written = count; });
+  });
+  AsyncHttpClient client(&io_, at_, 1);
+  const HttpExchange exchange = Fetch(&client, seconds(10), "a");
+  CHECK_FALSE(exchange.answer.ok());
+  CHECK(exchange.execution == Execution::kMayHaveRun);
+  CHECK(RunUntil(written) < kAnswerBytes);
+}
+
+TEST_CASE_METHOD(NetTest, "HttpServer_BudgetIsExceeded_LongestHolderIsRefusedAndOthersServed") {
+  constexpr std::size_t kBudget = 64 * 1024;
+  AsyncHttpServer server(
+      &io_,
+      [](const HttpRequest&, const HttpReply& reply) {
+        reply({200, "ok", {}});
+      },
+      [] { return HttpServerLimits(); }, std::make_shared<ByteBudget>(kBudget));
+  REQUIRE(server.Listen(at_).ok());
+  tcp::socket holder(io_);
+  holder.connect(tcp::endpoint(asio::ip::make_address(at_.host), at_.port));
+  asio::write(holder, asio::buffer("POST /x HTTP/1.1\r\nContent-Length: 200000\r\n\r\n" +
+                                   std::string(kBudget - 8'000, 'x')));
+  std::string answer(64, '\0');
+  std::optional<std::size_t> count;
+  holder.async_read_some(asio::buffer(answer),
+                         [&](asio::error_code, std::size_t size) { count = size; });
+  io_.restart();
+  io_.run_for(milliseconds(50));
+  AsyncHttpClient client(&io_, at_, 1);
+  CHECK(Fetch(&client, seconds(5), std::string(30'000, 'y')).answer->code == 200);
+  CHECK(RunUntil(count) > 0);
+  CHECK(answer.starts_with("HTTP/1.1 503"));
+}
+
 TEST_CASE_METHOD(NetTest, "FrameLink_ConcurrentCalls_EachGetsItsOwnResponse") {
   FrameServer server(
       &io_, [](const std::string& bytes, const FrameServer::Reply& reply) { reply(bytes + "!"); });
