--- a/core/http_status.h
+++ b/core/http_status.h
@@ -6,6 +6,7 @@
 
 inline constexpr int kOk = 200;
 inline constexpr int kBadRequest = 400;
+inline constexpr int kUnauthorized = 401;
 inline constexpr int kNotFound = 404;
 inline constexpr int kMethodNotAllowed = 405;
 inline constexpr int kRequestTimeout = 408;
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -43,6 +43,12 @@
   return std::max(max_config_apply_time / 2 - kOperatorReadMargin, kMinOperatorReadWait);
 }
 
+/// Returns how old the configuration may be by which calls with a key are decided.
+std::chrono::milliseconds MaxConfigAge(const AccessLimits& limits) {
+  return std::min(limits.max_config_apply_time,
+                  limits.max_revocation_time.value_or(limits.max_config_apply_time));
+}
+
 OwnershipOptions GroupOptions(const PlatformSettings& settings) {
   OwnershipOptions options;
   options.member.group = kGroup;
@@ -63,6 +69,7 @@
       response_budget_(std::make_shared<ByteBudget>(settings_.max_buffered_bytes)),
       store_(&io_, settings_.store, &metrics_, response_budget_),
       runner_gateway_(&io_, settings_.advisor, response_budget_),
+      access_(settings_.access),
       router_(&io_, settings_.peers,
               {[this](CellNumber cell) { return OwnerAddress(cell); },
                [this](CellCall call, std::function<void(CallResponse)> respond) {
@@ -72,8 +79,8 @@
                [this](const Endpoint& peer) { EvictStoppedPeer(peer); }}),
       locator_(&io_, &router_, &routes_, settings_.partitions),
       assignment_keeper_(&io_, &store_, settings_.partitions, [this] { UpdateRunners(); }),
-      caller_api_(&io_, &routes_, &router_, &locator_, &assignment_keeper_.cell_assignment(),
-                  &metrics_),
+      caller_api_(&io_, &routes_, &access_, &router_, &locator_,
+                  &assignment_keeper_.cell_assignment(), &metrics_),
       ownership_(
           &io_, &store_, &clock_, GroupOptions(settings_),
           {[this](CellNumber cell, TermToken token) { cells_.Gain(cell, token); },
@@ -95,7 +102,7 @@
            }}),
       dispatcher_(&cells_, &routes_),
       operator_watch_(&io_, &store_,
-                      {"keyed.op", MaxOperatorReadWait(settings_.max_config_apply_time),
+                      {"keyed.op", MaxOperatorReadWait(MaxConfigAge(settings_.access)),
                        std::chrono::milliseconds(0)},
                       [this](const std::set<std::string>& keys) { ApplyOperatorChanges(keys); }),
       runner_directory_(&io_, &store_, [this] { UpdateRunners(); }),
@@ -114,7 +121,10 @@
       readiness_server_(
           &io_,
           [this](const HttpRequest&, const HttpReply& reply) {
-            const bool ready = !draining_ && routes_.version() > 0 && assignment_keeper_.known();
+            const bool keys_accepted =
+                !access_.teams().requires_keys() || access_.MayAcceptKeys(clock_.Now());
+            const bool ready =
+                !draining_ && routes_.version() > 0 && assignment_keeper_.known() && keys_accepted;
             reply(BareResponse(ready ? http_status::kOk : http_status::kUnavailable));
           },
           [] { return HttpServerLimits(); }),
@@ -157,6 +167,7 @@
                       {"peers", settings_.peers.ToString()},
                       {"first_start", settings_.first_start ? "yes" : "no"}});
   WaitForSignal();
+  operator_watch_.SetCurrentHook([this](Instant as_of) { access_.ConfirmCurrent(as_of); });
   operator_watch_.Start();
   assignment_keeper_.Start();
   ExtendCellAssignment();
@@ -226,9 +237,11 @@
   if (config->version <= routes_.version()) return;
   LogDecision("config", {{"from", Concat(routes_.version())},
                          {"to", Concat(config->version)},
-                         {"routes", Concat(config->routes.size())}});
+                         {"routes", Concat(config->routes.size())},
+                         {"teams", Concat(config->teams.teams().size())}});
   const std::vector<QueueService> old_assignments = routes_.Assignments();
   routes_.Assign(config->version, std::move(config->routes));
+  access_.Assign(std::move(config->teams));
   routes_read_at_ = clock_.Now();
   for (const auto& [cell, host] : cells_.hosts()) host->ApplyRoutes();
   // Requests of queues that moved wait until a renewal has confirmed the version.
--- a/daemon/job_instance.h
+++ b/daemon/job_instance.h
@@ -21,6 +21,7 @@
 #include "core/metrics.h"
 #include "daemon/cell_assignment_keeper.h"
 #include "daemon/machine_coordinator.h"
+#include "jobs/access_control.h"
 #include "jobs/route_table.h"
 #include "net/async_http_server.h"
 #include "net/frame_link.h"
@@ -80,6 +81,7 @@
   StoreClient store_;
   RunnerGateway runner_gateway_;
   RouteTable routes_;
+  AccessControl access_;
   std::vector<std::string> services_;  ///< Names of the configured services.
   HttpServerLimits caller_limits_;
   CallRouter router_;
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -214,15 +214,16 @@
   QueuePolicy policy;                     ///< Of the queue when the job was accepted.
   std::chrono::milliseconds accepted{0};  ///< Since 1970.
   QueueAddress queue;
+  std::string team;  ///< Name of the team that submitted the job; empty if its queue is public.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(spec, policy, accepted, queue);
+    archive(spec, policy, accepted, queue, team);
   }
 };
 
-/// Decodes a stored job of this version or an earlier one, which stored no address. Errors:
-/// InvalidArgument.
+/// Decodes a stored job of this version or an earlier one, which stored no team or no address.
+/// Errors: InvalidArgument.
 absl::StatusOr<JobRecord> DecodeJobRecord(std::string_view bytes);
 
 }  // namespace wigeonlane
--- a/jobs/route_table.h
+++ b/jobs/route_table.h
@@ -19,6 +19,7 @@
 struct QueueRoute {
   QueueAddress address;
   QueuePolicy policy;
+  bool is_public = false;  ///< Calls need no API key, and its jobs belong to no team.
 };
 
 /// The queue of a request.
--- a/jobs/stored_progress.cc
+++ b/jobs/stored_progress.cc
@@ -103,7 +103,20 @@
   }
 };
 
-/// The form of a job that earlier versions stored, without the address of its queue.
+/// The form of a job that earlier versions stored, without its team.
+struct TeamlessJobRecord {
+  JobSpec spec;
+  QueuePolicy policy;
+  std::chrono::milliseconds accepted{0};
+  QueueAddress queue;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(spec, policy, accepted, queue);
+  }
+};
+
+/// The form of a job that still earlier versions stored, without the address of its queue.
 struct UnaddressedJobRecord {
   JobSpec spec;
   QueuePolicy policy;
@@ -135,10 +148,18 @@
 absl::StatusOr<JobRecord> DecodeJobRecord(std::string_view bytes) {
   auto record = Decode<JobRecord>(bytes);
   if (record.ok()) return record;
+  auto teamless = Decode<TeamlessJobRecord>(bytes);
+  if (teamless.ok()) {
+    return JobRecord{std::move(teamless->spec),
+                     std::move(teamless->policy),
+                     teamless->accepted,
+                     std::move(teamless->queue),
+                     {}};
+  }
   auto unaddressed = Decode<UnaddressedJobRecord>(bytes);
   if (!unaddressed.ok()) return record.status();
   return JobRecord{
-      std::move(unaddressed->spec), std::move(unaddressed->policy), unaddressed->accepted, {}};
+      std::move(unaddressed->spec), std::move(unaddressed->policy), unaddressed->accepted, {}, {}};
 }
 
 std::string Job::SliceId::ToSuffix() const { return Concat(".", occurrence, ".", number); }
--- a/tests/jobs/job_progress_test.cc
+++ b/tests/jobs/job_progress_test.cc
@@ -195,5 +195,31 @@
   CHECK(DoneTasks(next, 0) == 1);
 }
 
+/// The form that versions before teams stored.
+struct TeamlessRecord {
+  JobSpec spec;
+  QueuePolicy policy;
+  std::chrono::milliseconds accepted{0};
+  QueueAddress queue;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(spec, policy, accepted, queue);
+  }
+};
+
+TEST_CASE("JobRecord_StoredWithAndWithoutTeam_IsRead") {
+  JobRecord record;
+  record.queue = {"h", "/q/"};
+  record.team = "red";
+  const auto decoded = DecodeJobRecord(Encode(record));
+  REQUIRE(decoded.ok());
+  CHECK(decoded->team == "red");
+  const auto former = DecodeJobRecord(Encode(TeamlessRecord{{}, {}, {}, record.queue}));
+  REQUIRE(former.ok());
+  CHECK(former->team.empty());
+  CHECK(former->queue == record.queue);
+}
+
 }  // namespace
 }  // namespace wigeonlane
--- a/tests/platform/caller_api_test.cc
+++ b/tests/platform/caller_api_test.cc
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "cells/cell_dispatcher.h"
+#include "core/boot_clock.h"
 #include "core/http_status.h"
 #include "platform/job_codec.h"
 #include "tests/cells/fake_cell_host.h"
@@ -37,7 +38,7 @@
                   },
                   [] {}, [](const Endpoint&) {}}),
           locator(&test->io_, &router, &routes, kCells),
-          api(&test->io_, &routes, &router, &locator, &test->division_, &test->metrics_),
+          api(&test->io_, &routes, &access, &router, &locator, &test->division_, &test->metrics_),
           hosts(
               &test->io_,
               [test](CellNumber cell, TermToken token) {
@@ -60,6 +61,7 @@
     }
 
     RouteTable routes;
+    AccessControl access{{}};
     CallRouter router;
     QueueLocator locator;
     CallerApi api;
@@ -130,6 +132,44 @@
 };
 
 /// All instances started after the queue had led to one service, then to another.
+class TeamKeyTest : protected CallerApiTest {
+ protected:
+  TeamKeyTest() {
+    owner_->Read(1, "s0");
+    owner_->access.Assign(*TeamDirectory::Create({{"red", {"key-1"}, 1, 0, {}}}));
+    owner_->access.ConfirmCurrent(BootClock().Now());
+    TakeOver();
+  }
+
+  int AskWith(const std::string& method, const std::string& authorization,
+              const std::string& path = "/q/00000000000000a1") {
+    JobSpec spec;
+    spec.steps.resize(1);
+    std::optional<int> code;
+    owner_->api.Serve({method, path, "h", {{"authorization", authorization}}, EncodeJob(spec)},
+                      [&](const HttpResponse& response) { code = response.code; });
+    io_.restart();
+    io_.run_for(std::chrono::seconds(10));
+    return code.value_or(0);
+  }
+};
+
+TEST_CASE_METHOD(TeamKeyTest, "Request_EveryMethodWithoutAValidKey_IsRejectedAndMakesNoJob") {
+  for (const std::string method : {"POST", "GET", "DELETE"}) {
+    CHECK(AskWith(method, "") == http_status::kUnauthorized);
+    CHECK(AskWith(method, "Bearer key-2") == http_status::kUnauthorized);
+    CHECK(AskWith(method, "Basic key-1") == http_status::kUnauthorized);
+  }
+  CHECK(AskWith("GET", "Bearer key-2", "/q/") == http_status::kUnauthorized);
+  CHECK(StoredJobs() == 0);
+}
+
+TEST_CASE_METHOD(TeamKeyTest, "Post_ValidKey_IsServed") {
+  CHECK(AskWith("POST", "bearer key-1") == http_status::kOk);
+  CHECK(AskWith("GET", "Bearer key-1") == http_status::kOk);
+  CHECK(StoredJobs() == 1);
+}
+
 class MovedQueueTest : protected CallerApiTest {
  protected:
   MovedQueueTest() {
--- a/tests/platform/wire_test.cc
+++ b/tests/platform/wire_test.cc
@@ -173,6 +173,36 @@
   CHECK_FALSE(DecodeConfig(R"({"Routes":[]})").ok());
 }
 
+TEST_CASE_METHOD(WireTest, "Config_Teams_AreDecodedAndOtherwiseNoKeyIsRequired") {
+  const std::string routes = R"("Routes":[{"Name":"r","Host":"h","PathPrefix":"/k/","Service":"s",
+      "Public":true}])";
+  const auto config = DecodeConfig(Concat(R"({"Version":7,)", routes, R"(,"Tenants":[{"Name":"red",
+      "ApiKeys":["k1","k2"],"Priority":1,"Weight":2.5,"Cap":{"Cpu":4000,"MemMb":0,"Gpus":1}}]})"));
+  REQUIRE(config.ok());
+  CHECK(config->routes[0].is_public);
+  CHECK(config->teams.requires_keys());
+  const Team* team = config->teams.FindByKey("k2");
+  REQUIRE(team != nullptr);
+  CHECK(team->name == "red");
+  CHECK(team->weight == 2.5);
+  CHECK(team->cap == Resources{4'000, 0, 1});
+  const auto without = DecodeConfig(Concat(R"({"Version":7,)", routes, "}"));
+  REQUIRE(without.ok());
+  CHECK_FALSE(without->teams.requires_keys());
+}
+
+TEST_CASE_METHOD(WireTest, "Config_InvalidTeams_IsRefusedWithoutNamingTheKey") {
+  for (const std::string team :
+       {R"({"ApiKeys":["secret"]})", R"({"Name":"a","ApiKeys":"secret"})",
+        R"({"Name":"a","ApiKeys":["secret"],"Weight":-1})", R"({"Name":"a","Weight":"secret"})",
+        R"({"Name":"a","ApiKeys":[1]})", R"({"Name":"a","ApiKeys":["secret"],"Cap":5})",
+        R"({"Name":"a","ApiKeys":["secret"]},{"Name":"b","ApiKeys":["secret"]})"}) {
+    const auto config = DecodeConfig(Concat(R"({"Version":7,"Tenants":[)", team, "]}"));
+    REQUIRE_FALSE(config.ok());
+    CHECK(config.status().message().find("secret") == absl::string_view::npos);
+  }
+}
+
 TEST_CASE_METHOD(WireTest, "Machines_TwoPages_AreJoined") {
   MachineList machines;
   const auto next = DecodeMachines(
--- a/tools/job_fleet.py
+++ b/tools/job_fleet.py
@@ -69,10 +69,14 @@
                            "MaxAttempts": 3, "Stretch": 3, "TargetLatencyMs": 2000, **fields})
         pools = sorted({route["Service"] for route in routes})
         config = {"Version": self.version, "Routes": routes,
-                  "Services": [{"Name": pool} for pool in pools]}
+                  "Services": [{"Name": pool} for pool in pools], **self.further_config()}
         code, _, text = self.control("/operator?key=config", json.dumps(config))
         assert code == 200, text
 
+    def further_config(self):
+        """Returns fields that are added to each configuration."""
+        return {}
+
     def start_instances(self, count):
         for index in range(count):
             self.start_instance(f"instance{index}")
