--- a/scheduling/job_ranking.cc
+++ b/scheduling/job_ranking.cc
@@ -13,7 +13,9 @@
 /// Tiers of jobs; a lower tier starts first.
 constexpr std::uint32_t kLongRunningTier = 0;
 constexpr std::uint32_t kOnTimeTier = 1;
-constexpr std::uint32_t kLateTier = 2;
+constexpr std::uint32_t kOverShareTier = 2;
+constexpr std::uint32_t kLateTier = 3;
+constexpr std::uint32_t kBeyondRateTier = 4;
 
 std::chrono::milliseconds Scaled(std::chrono::milliseconds time, double ratio) {
   return std::chrono::milliseconds(
@@ -46,11 +48,15 @@
 
 JobRank RankJob(const JobDemand& demand, Instant now) {
   if (demand.long_running) return {kLongRunningTier, 0};
+  if (demand.standing == TeamStanding::kBeyondRate) {
+    return {kBeyondRateTier, demand.remaining_work};
+  }
   const auto time_left = demand.accepted + demand.objective - now;
   if (time_left < demand.remaining_critical_path) {
     return {kLateTier, std::chrono::duration<double>(demand.accepted.time_since_epoch()).count()};
   }
-  return {kOnTimeTier, demand.remaining_work};
+  const bool over_share = demand.standing == TeamStanding::kOverShare;
+  return {over_share ? kOverShareTier : kOnTimeTier, demand.remaining_work};
 }
 
 Instant RankExpiresAt(const JobDemand& demand, Instant now) {
--- a/scheduling/job_ranking.h
+++ b/scheduling/job_ranking.h
@@ -3,7 +3,9 @@
 /// Load pattern: for some seconds a queue's demand is five times its mean, more than its pool can
 /// run. A job earns almost all of its value within its objective and next to nothing later. Jobs
 /// that can still meet their objective therefore go first, those with the least remaining work
-/// before others; late jobs use the remaining capacity, oldest first.
+/// before others; late jobs use the remaining capacity, oldest first. Where teams share a service,
+/// jobs of a team that uses more than its share go behind those of others, and jobs beyond a team's
+/// rate behind all.
 #ifndef WIGEONLANE_SCHEDULING_JOB_RANKING_H_
 #define WIGEONLANE_SCHEDULING_JOB_RANKING_H_
 
@@ -16,10 +18,18 @@
 
 namespace wigeonlane {
 
+/// What a job's team is entitled to. Jobs without a team are within their share.
+enum class TeamStanding : std::uint8_t {
+  kWithinShare,
+  kOverShare,   ///< The team uses more than its share of a service that cannot serve all.
+  kBeyondRate,  ///< The job was submitted beyond the team's rate.
+};
+
 /// Properties of a job that determine its rank.
 struct JobDemand {
   std::uint32_t priority = 0;  ///< 0 is the highest.
   bool long_running = false;
+  TeamStanding standing = TeamStanding::kWithinShare;
   Instant accepted{};
   std::chrono::milliseconds objective{0};  ///< Time limit for completion, from acceptance.
   /// Estimated run time of the longest chain of dependent steps that are not complete.
