--- a/cells/cell_teams.cc
+++ b/cells/cell_teams.cc
@@ -155,7 +155,7 @@
 /// Returns by team what a predecessor may have started on runners that have not reported: at most
 /// their capacity, and only tasks of jobs that it had stored.
 std::vector<Resources> Cell::UncertainUses() const {
-  if (unreconciled_.empty()) return {};
+  if (unreconciled_.empty() || team_names_.size() == 1) return {};
   std::vector<Resources> uses(team_names_.size());
   Resources capacity;
   for (const auto& [key, runner] : runners_) {
@@ -262,7 +262,9 @@
 TeamStanding Cell::StandingOf(const JobEntry& entry) const {
   if (entry.beyond_rate) return TeamStanding::kBeyondRate;
   if (entry.team == kNoTeam) return TeamStanding::kWithinShare;
-  const bool over_share = teams_over_share_.contains({entry.job.policy().service, entry.team});
+  // Most of the work of a job that has started would be wasted if it were late.
+  const bool over_share =
+      !entry.job.started() && teams_over_share_.contains({entry.job.policy().service, entry.team});
   return over_share ? TeamStanding::kOverShare : TeamStanding::kWithinShare;
 }
 
