--- a/daemon/pool_balancer.cc
+++ b/daemon/pool_balancer.cc
@@ -49,6 +49,7 @@
     }
   }
   std::vector<TeamArrivals> arrivals;
+  arrivals.reserve(totals.size());
   for (const auto& [team, per_second] : totals) arrivals.push_back({team, per_second});
   return arrivals;
 }
--- a/net/http_body.h
+++ b/net/http_body.h
@@ -21,10 +21,10 @@
 
   static std::uint64_t size(const value_type& body) { return body.size(); }
 
-  class reader {
+  class Reader {
    public:
     template <bool isRequest, class Fields>
-    reader(boost::beast::http::header<isRequest, Fields>&, value_type& body) : body_(body) {}
+    Reader(boost::beast::http::header<isRequest, Fields>&, value_type& body) : body_(body) {}
 
     void init(const boost::optional<std::uint64_t>& length, boost::system::error_code& error) {
       announced_bytes_ = static_cast<std::size_t>(length.value_or(0));
@@ -57,6 +57,8 @@
     value_type& body_;
     std::size_t announced_bytes_ = 0;
   };
+
+  using reader = Reader;  ///< The name that the parser expects.
 };
 
 }  // namespace wigeonlane
--- a/tests/cells/cell_cancel_test.cc
+++ b/tests/cells/cell_cancel_test.cc
@@ -191,7 +191,8 @@
   store_answers_ = false;
   StepSpec step;
   step.need = {1'000, 1'000, 0};
-  cell_->Submit(2, *JobId::Parse("00000000000000f0"), JobRecord{{"", {step}}, {}, {}, {}}, Time());
+  cell_->Submit(2, *JobId::Parse("00000000000000f0"), JobRecord{{"", {step}}, {}, {}, {}, {}},
+                Time());
   AdvanceTime(milliseconds(50));
   SubmitLate();
   AdvanceTime(CellOptions().commit_stall_timeout);
--- a/tests/cells/cell_team_rate_test.cc
+++ b/tests/cells/cell_team_rate_test.cc
@@ -59,8 +59,8 @@
 
 // Guards against idle capacity while a team's jobs are refused.
 TEST_CASE_METHOD(CellRateTest, "Submit_BeyondRateOnIdleService_IsAcceptedAndStarts") {
-  std::vector<CallNumber> jobs;
-  for (int i = 0; i < 4; ++i) jobs.push_back(SubmitAndWait("red", Tasks(2)));
+  std::vector<CallNumber> jobs(4);
+  for (CallNumber& job : jobs) job = SubmitAndWait("red", Tasks(2));
   for (const CallNumber job : jobs) {
     CHECK(VerdictOf(job) == CallVerdict::kAccepted);
     CHECK(StartsOf(job) == 2);
@@ -83,8 +83,8 @@
 TEST_CASE_METHOD(CellRateTest, "Submit_SeveralBeyondRateAtOnce_OnlyThoseThatFitAreAccepted") {
   SubmitAndWait("blue", Tasks(5));
   const CallNumber within = SubmitFor("red", Tasks(1));
-  std::vector<CallNumber> beyond;
-  for (int i = 0; i < 6; ++i) beyond.push_back(SubmitFor("red", Tasks(1)));
+  std::vector<CallNumber> beyond(6);
+  for (CallNumber& job : beyond) job = SubmitFor("red", Tasks(1));
   AdvanceTime(kReaction);
   CHECK(VerdictOf(within) == CallVerdict::kAccepted);
   CHECK(StartsOf(within) == 1);
@@ -171,8 +171,8 @@
   AdvanceTime(kReaction);
   REQUIRE(starts_.size() == 16);
   // The jobs of the other team have more work, so they would go behind without shares.
-  std::vector<CallNumber> blue;
-  for (int i = 0; i < 5; ++i) blue.push_back(SubmitFor("blue", Tasks(12)));
+  std::vector<CallNumber> blue(5);
+  for (CallNumber& job : blue) job = SubmitFor("blue", Tasks(12));
   AdvanceTime(kReaction);
   EndRuns(12);
   std::int64_t blue_starts = 0;
