--- a/tests/cells/quota_fuzz_test.cc
+++ b/tests/cells/quota_fuzz_test.cc
@@ -338,5 +338,30 @@
   CHECK(QuotaLimit(record, 1, 1, kTeam, caps.at(kTeam)).cpu_milli == 0);
 }
 
+/// Guards against an amount that was given back and is used all the same: its write was stored but
+/// not answered, and the repeated one meets another end.
+TEST_CASE("QuotaView_UnansweredWriteWasStored_LowerAmountHoldsUntilItIsRead") {
+  const std::map<std::string, Resources> caps = {{kTeam, {100, 0, 0}}};
+  QuotaRecord record;
+  record.cells[0] = {1, {{kTeam, {{80, 0, 0}, {80, 0, 0}, {}}}}};
+  record.cells[1] = {2, {{kTeam, {{20, 0, 0}, {60, 0, 0}, {}}}}};
+  QuotaView view;
+  view.ApplyRecord(record, 5);
+  const OwnedCell owned{0, 1, {{kTeam, {{10, 0, 0}, {}, {}, {}}}}};
+  const auto next = PlanQuota(record, {owned}, caps, 2, true);
+  REQUIRE(next);
+  const std::int64_t lowered = QuotaLimit(*next, 0, 1, kTeam, caps.at(kTeam)).cpu_milli;
+  REQUIRE(lowered < 80);
+  view.StartWrite(*next);
+  view.WriteUnanswered();
+  REQUIRE(view.write_to_repeat() != nullptr);
+  view.WriteConflicted();
+  CHECK(view.Limit(0, 1, kTeam, caps.at(kTeam)).cpu_milli == lowered);
+  CHECK_FALSE(view.may_plan());
+  view.ApplyRecord(*next, 6);
+  CHECK(view.may_plan());
+  CHECK(view.Limit(0, 1, kTeam, caps.at(kTeam)).cpu_milli == lowered);
+}
+
 }  // namespace
 }  // namespace wigeonlane
