--- a/cells/cell.h
+++ b/cells/cell.h
@@ -120,6 +120,9 @@
   /// Replaces the list of discovered runners of this cell's services.
   void SetRunners(const std::vector<RunnerListing>& listings, CellTime time);
 
+  /// The discovered runners were as listed when discovery was asked at `as_of`.
+  void ConfirmListings(Instant as_of) { listed_as_of_ = std::max(listed_as_of_, as_of); }
+
   /// Does all work that is due: commits, polls, stops, expiry and placement. Must be called after
   /// other calls, and no later than `NextWake`.
   void Advance(CellTime time);
@@ -509,6 +512,7 @@
   std::map<RunnerKey, Runner> runners_;
   std::unordered_map<std::string, RunnerKey> key_by_id_;
   std::map<std::string, RunnerListing> stored_runners_;  ///< Newest runner records, by id.
+  Instant listed_as_of_{};                               ///< See `ConfirmListings`.
   bool unsplit_registry_present_ = false;  ///< The store holds the record of an earlier version.
   std::unordered_map<std::string, std::vector<UnacknowledgedStart>>
       unacknowledged_starts_;  ///< By runner id.
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -105,6 +105,12 @@
     SchedulePump();
   }
 
+  /// The runners that were set last were the listed ones at `as_of`.
+  void ConfirmListings(Instant as_of) {
+    listed_as_of_ = as_of;
+    if (cell_ != nullptr) cell_->ConfirmListings(as_of);
+  }
+
   void Submit(const JobId& id, JobRecord&& record, ResponseCallback on_response) {
     if (!active()) return on_response({CallVerdict::kNotOwner});
     cell_->Submit(NewCall(std::move(on_response)), id, std::move(record), Time());
@@ -238,6 +244,7 @@
     cell_->Restore(snapshot.records, Time(), term_watch_);
     cell_->RecordOwnership(last_owned_token_, clock_->Now());
     cell_->SetRunners(listings_, Time());
+    cell_->ConfirmListings(listed_as_of_);
     if (teams_) cell_->SetTeams(*teams_, clock_->Now());
     if (routes_ != nullptr) cell_->ApplyRoutes(routes_->routes(), clock_->Now());
     Pump();
@@ -425,6 +432,7 @@
   std::function<void()> on_released_;
   std::unique_ptr<Cell> cell_;
   std::vector<RunnerListing> listings_;
+  Instant listed_as_of_{};
   std::optional<std::map<std::string, TeamTerms>> teams_;
   std::function<void()> on_limited_ = [] {};
   const RouteTable* routes_ = nullptr;
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -403,7 +403,8 @@
                         {"cell", Concat(number_)},
                         {"token", Concat(token_)},
                         {"free_cpu", Concat(runner->Free().cpu_milli)},
-                        {"report_age_ms", Concat(MillisOf(time.now - runner->clock_read_at))}});
+                        {"report_age_ms", Concat(MillisOf(time.now - runner->clock_read_at))},
+                        {"listing_age_ms", Concat(MillisOf(time.now - listed_as_of_))}});
   outbox_.starts.push_back(std::move(command));
 }
 
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -172,6 +172,7 @@
   WaitForSignal();
   operator_watch_.SetCurrentHook([this](Instant as_of) { access_.ConfirmCurrent(as_of); });
   operator_watch_.Start();
+  runner_directory_.SetCurrentHook([this] { ConfirmListings(); });
   assignment_keeper_.Start();
   ExtendCellAssignment();
   ownership_.Start();
@@ -274,6 +275,7 @@
   // starts at the time of the renewal.
   host->ExtendAuthority(ownership_.renewed_at() + settings_.cell.authority);
   SetHostRunners(cell, host.get());
+  host->ConfirmListings(runner_directory_.current_as_of());
   if (routes_.version() > 0) host->SetTeams(quota_keeper_.TermsFor(cell, token));
   host->SetLimitedHook([this] { quota_keeper_.Update(); });
   return host;
@@ -307,6 +309,12 @@
   }));
 }
 
+void JobInstance::ConfirmListings() {
+  for (const auto& [cell, host] : cells_.hosts()) {
+    host->ConfirmListings(runner_directory_.current_as_of());
+  }
+}
+
 void JobInstance::UpdateRunners() {
   for (const auto& [cell, host] : cells_.hosts()) SetHostRunners(cell, host.get());
 }
@@ -395,6 +403,11 @@
 }
 
 void JobInstance::UpdateGauges() {
+  if (runner_directory_.current_as_of() != Instant{}) {
+    metrics_.SetGauge(
+        "wigeonlane_runner_list_age_ms", "",
+        static_cast<double>(MillisOf(clock_.Now() - runner_directory_.current_as_of())));
+  }
   for (const auto& [cell, host] : cells_.hosts()) {
     if (host->cell() == nullptr) continue;
     const std::string label = Concat("cell=\"", cell, "\"");
--- a/daemon/job_instance.h
+++ b/daemon/job_instance.h
@@ -59,6 +59,7 @@
   void ApplyTeamTerms();
   void StartRunnerDirectory();
   void UpdateRunners();
+  void ConfirmListings();
   void ExtendCellAssignment();
   void ReadRoutesAtTakeover(CellNumber cell, TermToken token);
   void SetHostRunners(CellNumber cell, Host* host);
