--- a/cells/cell.h
+++ b/cells/cell.h
@@ -120,8 +120,12 @@
   /// Replaces the list of discovered runners of this cell's services.
   void SetRunners(const std::vector<RunnerListing>& listings, CellTime time);
 
-  /// The discovered runners were as listed when discovery was asked at `as_of`.
+  /// The discovered runners were as listed when discovery was asked at `as_of`. Without such a
+  /// confirmation no tasks are started after a while: a runner may have said that it leaves.
   void ConfirmListings(Instant as_of) { listed_as_of_ = std::max(listed_as_of_, as_of); }
+  bool ListingsAreRecent(Instant now) const {
+    return now <= listed_as_of_ + options_.max_listing_age;
+  }
 
   /// Does all work that is due: commits, polls, stops, expiry and placement. Must be called after
   /// other calls, and no later than `NextWake`.
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -108,7 +108,10 @@
   /// The runners that were set last were the listed ones at `as_of`.
   void ConfirmListings(Instant as_of) {
     listed_as_of_ = as_of;
-    if (cell_ != nullptr) cell_->ConfirmListings(as_of);
+    if (cell_ == nullptr) return;
+    const bool starts_were_held_back = !cell_->ListingsAreRecent(clock_->Now());
+    cell_->ConfirmListings(as_of);
+    if (starts_were_held_back) SchedulePump();
   }
 
   void Submit(const JobId& id, JobRecord&& record, ResponseCallback on_response) {
--- a/cells/cell_options.h
+++ b/cells/cell_options.h
@@ -41,6 +41,9 @@
   /// A runner refuses a start that arrives later than this on its clock. This rules out delayed
   /// starts, some of which the platform delivers 2 s late or more.
   std::chrono::milliseconds start_validity{1'500};
+  /// Oldest list of runners by which tasks are started, since an older one may show runners that
+  /// have said they leave. The same as `authority`: an outage of the store ends both.
+  std::chrono::milliseconds max_listing_age{3'000};
   /// Longest response time to a command with a quarter of a core under load, plus a margin.
   std::chrono::milliseconds command_timeout{600};
   /// Delay before an unacknowledged stop is sent again.
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -79,7 +79,7 @@
     schedule_requested_ = true;
     reschedule_at_ = Instant::max();
   }
-  if (!schedule_requested_ || !HasAuthority(time.now)) return;
+  if (!schedule_requested_ || !HasAuthority(time.now) || !ListingsAreRecent(time.now)) return;
   schedule_requested_ = false;
   UpdateTeamStandings(time.now);
   RankStaleJobs(time.now);
--- a/tests/cells/cell_timed_test.cc
+++ b/tests/cells/cell_timed_test.cc
@@ -34,6 +34,7 @@
     cell_.ExtendAuthority(now_ + std::chrono::hours(1));
     cell_.Restore({{JobKey(id_), Encode(record)}}, {now_, wall_});
     cell_.SetRunners({runner_}, {now_, wall_});
+    cell_.ConfirmListings(now_ + std::chrono::hours(1));
   }
 
   void AdvanceTime(milliseconds duration) {
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -109,6 +109,7 @@
     owner->cell->Restore(records, Time(), WatchOf(index));
     owner->listed.clear();
     SendListings(owner);
+    owner->cell->ConfirmListings(now_);
     Pump(index);
   });
 }
@@ -144,6 +145,7 @@
     if (confirmed && StoreServes(*owner) && owner->cell != nullptr) {
       owner->cell->ExtendAuthority(now_ + CellOptions().authority);
       SendListings(owner);
+      owner->cell->ConfirmListings(now_);
       Pump(index);
     }
     After(kRenewal, [this, index] { Renew(index); });
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -77,6 +77,7 @@
     constexpr std::chrono::milliseconds kStep{5};
     for (std::chrono::milliseconds passed{0}; passed < duration; passed += kStep) {
       now_ += kStep;
+      if (listings_confirmed_) cell_->ConfirmListings(now_);
       if (renewals_confirmed_) cell_->ExtendAuthority(now_ + CellOptions().authority);
       TimeOutPolls();
       cell_->Advance(Time());
@@ -142,6 +143,7 @@
   int rejected_appends_ = 0;
   bool store_answers_ = true;
   bool renewals_confirmed_ = true;
+  bool listings_confirmed_ = true;  ///< Discovery is read all the time.
   std::map<CallNumber, CallResponse> responses_;     ///< To callers, the last one of each call.
   std::map<std::string, std::string> service_of_;    ///< By runner id; `kService` for all others.
   std::map<std::string, std::string> label_of_;      ///< By runner id; no label for all others.
