--- a/tests/platform/runner_directory_test.cc
+++ b/tests/platform/runner_directory_test.cc
@@ -8,7 +8,6 @@
 #include <vector>
 
 #include "absl/strings/escaping.h"
-#include "core/big_endian.h"
 #include "core/http_status.h"
 #include "core/text.h"
 #include "net/async_http_server.h"
@@ -20,12 +19,16 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-/// A store with the entry of one runner. It has dropped the history, so that each read of changes
-/// makes the directory read the entries anew.
+/// A store with the entry of one runner. It has dropped the history at first, so that each read of
+/// changes makes the directory read the entries anew.
 class RunnerDirectoryTest {
  protected:
+  /// The end of the partition, the first offset that is retained, and no records.
+  const std::string kNoChanges = std::string(7, '\0') + "\5" + std::string(8, '\0');
+
   RunnerDirectoryTest() {
     REQUIRE(server_.Listen(store_endpoint_).ok());
+    directory_.SetCurrentHook([] {});
     directory_.Start();
   }
 
@@ -49,9 +52,12 @@
   const Endpoint store_endpoint_ = FreeEndpoint();
   std::string entry_;
   int snapshots_ = 0;
+  bool history_dropped_ = true;
   AsyncHttpServer server_{&io_,
                           [this](const HttpRequest& request, const HttpReply& reply) {
                             if (request.target.starts_with("/log-read")) {
+                              if (!history_dropped_)
+                                return reply({http_status::kOk, kNoChanges, {}});
                               return reply({http_status::kGone, R"({"FirstOffset":9})", {}});
                             }
                             ++snapshots_;
@@ -77,6 +83,17 @@
   CHECK(Draining());
 }
 
+// Guards against DRAIN: a snapshot that the store serves late counted as a proof that the list of
+// runners is recent.
+TEST_CASE_METHOD(RunnerDirectoryTest,
+                 "RunnerDirectory_ChangesSinceSnapshotAreUnread_IsNotCurrent") {
+  Show("ready", milliseconds(12));
+  CHECK(directory_.current_as_of() == Instant{});
+  history_dropped_ = false;
+  while (directory_.current_as_of() == Instant{}) io_.run_one_for(seconds(10));
+  CHECK_FALSE(Draining());
+}
+
 // Guards against runners that stay unused: the next incarnation of a runner that left takes work.
 TEST_CASE_METHOD(RunnerDirectoryTest, "RunnerDirectory_RunnerRestartsAfterDrain_TakesWorkAgain") {
   Show("draining", milliseconds(12));
