--- a/tests/platform/runner_directory_test.cc
+++ b/tests/platform/runner_directory_test.cc
@@ -94,6 +94,15 @@
   CHECK_FALSE(Draining());
 }
 
+// Guards against DRAIN: an entry that cannot be read hid that its runner had said it leaves, and
+// the runner stayed in use.
+TEST_CASE_METHOD(RunnerDirectoryTest, "RunnerDirectory_EntryBecomesUnreadable_RunnerIsNotListed") {
+  Show("ready", milliseconds(12));
+  REQUIRE_FALSE(Draining());
+  Show("asleep", milliseconds(12));
+  CHECK(directory_.Listings([](const RunnerListing&) { return true; }).empty());
+}
+
 // Guards against runners that stay unused: the next incarnation of a runner that left takes work.
 TEST_CASE_METHOD(RunnerDirectoryTest, "RunnerDirectory_RunnerRestartsAfterDrain_TakesWorkAgain") {
   Show("draining", milliseconds(12));
