--- a/cells/cell.h
+++ b/cells/cell.h
@@ -299,10 +299,18 @@
   Instant LeaseLimit() const {
     return authority_until_ + (options_.max_lease_after_renewal - options_.authority);
   }
-  /// Whether tasks of the job may be running on a runner that has not responded since the takeover.
+  /// Whether tasks of the job may be running on a runner that has not responded since the takeover,
+  /// unless they are accounted for.
   bool IsBlocked(const JobEntry& entry) const {
     return entry.inherited && unreconciled_.Blocks(entry.job.policy().service);
   }
+  /// Whether a waiting task may be running on such a runner.
+  bool MayRunOutOfReach(const JobEntry& entry, const TaskState& task) const {
+    return !task.accounted_for && IsBlocked(entry);
+  }
+  bool HasStartableTasks(const JobEntry& entry) const;
+  /// From then on no former owner starts tasks.
+  Instant FormerOwnersAuthorityEnd() const { return restored_at_ + options_.authority; }
 
   /// Waiting work of one service that fits on no runner at present.
   struct UnplaceableWork {
--- a/cells/cell_evacuations.cc
+++ b/cells/cell_evacuations.cc
@@ -165,8 +165,9 @@
 Cell::RunnerChoice Cell::ChooseEvacuationTarget(const JobEntry& entry, const TaskId& id,
                                                 const std::set<RunnerKey>& excluded, Instant now) {
   const StepSpec& step = entry.job.spec().steps[id.step];
-  // No task of such a step could start now. A gang starts as a whole or not at all.
-  if (step.gang || IsBlocked(entry)) return {};
+  const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
+  // The task could not start now. A gang starts as a whole or not at all.
+  if (step.gang || MayRunOutOfReach(entry, task)) return {};
   const Resources load = step.Load();
   const std::string rack = RackOfStep(entry, id.occurrence, id.step);
   RunnerChoice choice;
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -176,6 +176,9 @@
 void Cell::HandleReportedRun(Runner* runner, const ReportedRun& reported, CellTime time) {
   JobEntry* entry = FindJob(reported.task.job);
   TaskState* task = FindReportedTask(entry, reported.task, time.wall);
+  if (task != nullptr && runner->report_requested_at >= FormerOwnersAuthorityEnd()) {
+    task->accounted_for = true;
+  }
   if (LiveRun* live = FindRun(runner, reported.task, reported.run)) {
     if (live->phase == RunPhase::kUnconfirmed) {
       LogSettledStart(*runner, reported.task, *live, "runs");
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -50,7 +50,7 @@
 void Cell::RerankJob(const JobId& id, Instant now) {
   JobEntry* entry = FindJob(id);
   const bool waits = entry != nullptr && entry->accepted && !IsFinal(entry->job.state()) &&
-                     !IsBlocked(*entry) && entry->job.ReadyTasks() > 0;
+                     HasStartableTasks(*entry);
   if (!waits) {
     if (entry != nullptr) entry->nothing_started_since.reset();
     return waiting_.Remove(id);
@@ -68,6 +68,24 @@
   waiting_.Set(id, RankJob(demand, now), RankExpiresAt(demand, now));
 }
 
+/// Whether tasks of the job are ready that no runner out of reach can be running.
+bool Cell::HasStartableTasks(const JobEntry& entry) const {
+  const Job& job = entry.job;
+  if (!IsBlocked(entry)) return job.ReadyTasks() > 0;
+  for (std::uint32_t occurrence = 0; occurrence < job.occurrences().size(); ++occurrence) {
+    const auto& steps = job.occurrences()[occurrence].steps;
+    for (std::uint32_t step = 0; step < steps.size(); ++step) {
+      if (steps[step].waiting == 0 || !job.StepReady(occurrence, step)) continue;
+      const auto& tasks = steps[step].tasks;
+      const bool any = std::any_of(tasks.begin(), tasks.end(), [](const TaskState& task) {
+        return task.phase == TaskPhase::kWaiting && task.accounted_for;
+      });
+      if (any) return true;
+    }
+  }
+  return false;
+}
+
 void Cell::Schedule(CellTime time) {
   for (const JobId& id : timed_jobs_) {
     if (!FindJob(id)->job.CreateDueOccurrences(time.wall)) continue;
@@ -135,6 +153,7 @@
     if (tasks[index].phase != TaskPhase::kWaiting || time.now < tasks[index].earliest_start) {
       continue;
     }
+    if (MayRunOutOfReach(*entry, tasks[index])) continue;
     const TaskId id{entry->job.id(), occurrence, step, index};
     const RunnerChoice choice =
         ChooseRunner(*entry, id, RackOfStep(*entry, occurrence, step), time.now);
@@ -166,6 +185,10 @@
 void Cell::PlaceGang(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time) {
   const StepProgress& progress = entry->job.occurrences()[occurrence].steps[step];
   if (progress.waiting != progress.tasks.size()) return;
+  const bool may_run =
+      std::any_of(progress.tasks.begin(), progress.tasks.end(),
+                  [&](const TaskState& task) { return MayRunOutOfReach(*entry, task); });
+  if (may_run) return;
   std::vector<std::pair<TaskId, Runner*>> chosen;
   RunNumber last = 0;
   std::string checkpoint;
@@ -379,6 +402,7 @@
   AddRun(runner, id, live);
   runner->health.RecordStart(time.now);
   entry->job.Place(id, runner->key, run);
+  entry->job.FindTask(id)->accounted_for = true;
   StartCommand command;
   command.runner = runner->key;
   command.task = id;
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -62,6 +62,9 @@
   Instant failed_at{};       ///< Time of the last failure; the runner is avoided for a while.
   std::string checkpoint;    ///< Latest saved progress; empty if none.
   Instant earliest_start{};  ///< Delays the restart after consecutive failures.
+  /// No runner out of reach can be running the task: it was reported as running elsewhere when no
+  /// former owner could start it any more, or this owner has started it.
+  bool accounted_for = false;
   std::uint32_t consecutive_failures = 0;  ///< Of a long-running task, each soon after its start.
   /// Numbers of the failed runs. After a takeover, several runners report their results in any
   /// order and more than once, so that a count or the highest number would not be enough.
--- a/tests/cells/cell_takeover_test.cc
+++ b/tests/cells/cell_takeover_test.cc
@@ -111,6 +111,73 @@
   CHECK(starts_.size() == 1);
 }
 
+/// A long-running task on one of three runners. The owner changes while the machine of another one
+/// is taken down, so that the new owner cannot reach that runner.
+class LongRunningTaskAfterTakeoverTest : protected ScriptedCell {
+ protected:
+  static constexpr Resources kCapacity{8'000, 8'000, 0};
+  static constexpr std::size_t kRunners = 3;
+  static constexpr milliseconds kReactionTime{500};
+
+  void StartTask() {
+    Begin(kRunners, kCapacity);
+    AdvanceTime(kReactionTime);
+    StepSpec step;
+    step.need = kCapacity;
+    step.long_running = true;
+    Submit(step);
+    AdvanceTime(kReactionTime);
+    REQUIRE(starts_.size() == 1);
+    host_ = IdOf(starts_.front().runner);
+    down_machine_ = host_ == RunnerName(0) ? RunnerName(1) : RunnerName(0);
+  }
+
+  void TakeOverWhileMachineGoesDown() {
+    unresponsive_.insert(down_machine_);
+    Begin(kRunners, kCapacity);
+    cell_->HandleMachineDown(down_machine_, Time());
+  }
+
+  void TakeDownMachineOfTask() {
+    EndRunnerOfTask();
+    cell_->HandleMachineDown(host_, Time());
+  }
+
+  void EndRunnerOfTask() {
+    unresponsive_.insert(host_);
+    running_[host_].clear();
+  }
+
+  std::string host_;          ///< The runner with the task.
+  std::string down_machine_;  ///< The runner whose machine is taken down at the takeover.
+};
+
+// Guards against LOST (issue 54): a long-running task lost its runner after a takeover, and did not
+// run again because of another runner that the new owner had never reached, although the task had
+// been seen running elsewhere.
+TEST_CASE_METHOD(LongRunningTaskAfterTakeoverTest,
+                 "LongRunningTask_OtherRunnerOutOfReachSinceTakeover_RunsAgainAtOnce") {
+  StartTask();
+  TakeOverWhileMachineGoesDown();
+  AdvanceTime(CellOptions().authority + CellOptions().poll_wait + kReactionTime);
+  REQUIRE(cell_->unreconciled_runners() > 0);
+  TakeDownMachineOfTask();
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.size() == 2);
+}
+
+// Guards against TWICE: a former owner that still has authority may have started the task again on
+// the runner that the new owner has never reached.
+TEST_CASE_METHOD(LongRunningTaskAfterTakeoverTest,
+                 "LongRunningTask_FormerOwnerMayStillStartTasks_Waits") {
+  StartTask();
+  TakeOverWhileMachineGoesDown();
+  AdvanceTime(CellOptions().authority - kReactionTime);
+  TakeDownMachineOfTask();
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.size() == 1);
+}
+
 // Guards against waves and moves that stalled after a takeover: one unresponsive runner prevented
 // the maintenance of all others.
 TEST_CASE_METHOD(UnresponsiveRunnerTest,
