--- a/cells/cell.h
+++ b/cells/cell.h
@@ -368,6 +368,7 @@
   void RestoreStrayLease(const std::string& key, const std::string& value, CellTime time);
   void RestoreHandover(const std::string& value, const TermWatch& watch, CellTime time);
   Instant FormerOwnersStrayLeaseEnd() const;
+  Instant PredecessorLeaseEnd(const Runner& runner) const;
   bool IsUnresponsive(const Runner& runner, Instant now) const;
   std::int64_t RemainingLeaseMs(const Runner& runner, Instant now) const;
   TermToken NoLeaseGrantedSince(const Runner& runner) const;
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -83,8 +83,8 @@
   const Instant end_by_former_owners = FormerOwnersStrayLeaseEnd();
   for (auto& [key, runner] : runners_) {
     const Instant end = stray_leases_.EndOn(runner.listing, end_by_former_owners);
-    runner.predecessor_lease_end = std::max(runner.predecessor_lease_end, end);
-    runner.lease_end = std::max(runner.lease_end, end);
+    runner.predecessor_stray_lease_end = end;
+    runner.is_later = stray_leases_.IsLater(runner.listing);
   }
   RerankAllJobs();
   schedule_requested_ = true;
@@ -191,6 +191,16 @@
          2 * options_.command_timeout + options_.MaxStrayLeaseAfterContact();
 }
 
+/// When no lease that a predecessor granted is left on a runner that has not responded. A runner
+/// that discovery does not list counts as gone (the platform's rule), so unless a later incarnation
+/// has been seen, only leases on the one that the predecessors knew are left.
+Instant Cell::PredecessorLeaseEnd(const Runner& runner) const {
+  const bool has_later_incarnation =
+      runner.listed || runner.is_later || listed_as_of_ <= restored_at_;
+  if (!has_later_incarnation) return runner.predecessor_lease_end;
+  return std::max(runner.predecessor_lease_end, runner.predecessor_stray_lease_end);
+}
+
 void Cell::PrepareHandover(std::chrono::milliseconds role_wait, CellTime time) {
   authority_until_ = Instant{};
   HandoverRecord record;
@@ -254,7 +264,7 @@
 /// How long leases that were granted on the runner may still last.
 std::int64_t Cell::RemainingLeaseMs(const Runner& runner, Instant now) const {
   Instant end = runner.lease_end;
-  if (unreconciled_.contains(runner.key)) end = std::max(end, runner.predecessor_lease_end);
+  if (unreconciled_.contains(runner.key)) end = std::max(end, PredecessorLeaseEnd(runner));
   const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(end - now);
   return std::max<std::int64_t>(remaining.count(), 0);
 }
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -119,11 +119,10 @@
   runner->listed = old_incarnation->listed;
   runner->is_later = old_incarnation->is_later || HasLaterIncarnation(reason);
   // Commands of a predecessor may have reached the new incarnation as well.
-  if (unreconciled_.contains(old_key) && time.now < old_incarnation->predecessor_lease_end) {
+  if (unreconciled_.contains(old_key) && time.now < PredecessorLeaseEnd(*old_incarnation)) {
     unreconciled_.AddNextIncarnation(old_key, runner->key);
-    runner->predecessor_lease_end =
-        std::max(old_incarnation->predecessor_lease_end, FormerOwnersStrayLeaseEnd());
-    runner->lease_end = std::max(runner->lease_end, runner->predecessor_lease_end);
+    runner->predecessor_stray_lease_end =
+        std::max(old_incarnation->predecessor_stray_lease_end, FormerOwnersStrayLeaseEnd());
   }
   for (auto& [task, run] : strays) {
     RemoveRun(old_incarnation, task);
@@ -177,9 +176,8 @@
   runner->next_poll_at = now;
   if (!unreconciled_.contains(runner->key)) return;
   // Commands of a predecessor may have reached this incarnation.
-  const Instant end = FormerOwnersStrayLeaseEnd();
-  runner->predecessor_lease_end = std::max(runner->predecessor_lease_end, end);
-  runner->lease_end = std::max(runner->lease_end, end);
+  runner->predecessor_stray_lease_end =
+      std::max(runner->predecessor_stray_lease_end, FormerOwnersStrayLeaseEnd());
 }
 
 /// Frees starts that no incarnation can be running any more. A runner that discovery does not list
@@ -317,7 +315,7 @@
     // While this owner has no authority, a former owner may own the cell again and grant leases.
     const bool predecessor_over =
         !unreconciled_.contains(key) ||
-        (time.now >= runner.predecessor_lease_end && HasAuthority(time.now));
+        (time.now >= PredecessorLeaseEnd(runner) && HasAuthority(time.now));
     const bool unresponsive = runner.failed_polls > 0 || !runner.listed;
     const bool idle = runner.runs.empty() && !unreconciled_.contains(key);
     if (unresponsive && lease_over && predecessor_over && (!idle || !runner.listed)) {
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -85,6 +85,8 @@
   Instant clock_read_at{};          ///< When that report arrived.
   Instant report_requested_at{};    ///< When the poll that it responds to was sent.
   Instant predecessor_lease_end{};  ///< Latest end of leases that predecessors granted.
+  /// The same for leases on a later incarnation, if there is one.
+  Instant predecessor_stray_lease_end{};
   Instant lease_end{};  ///< No run is left on the runner after this unless a new lease is granted.
   /// When this owner, or a predecessor, may last have sent a command with a deadline.
   Instant deadline_sent_at{};
--- a/cells/stray_leases.cc
+++ b/cells/stray_leases.cc
@@ -40,6 +40,11 @@
   return bound.contacted_end;
 }
 
+bool StrayLeases::IsLater(const RunnerListing& listing) const {
+  const auto found = bounds_.find(listing.id);
+  return found != bounds_.end() && listing.started_at > found->second.addressed;
+}
+
 Instant StrayLeases::EndOn(const RunnerListing& listing, Instant limit) const {
   const auto found = bounds_.find(listing.id);
   if (found == bounds_.end()) return {};
--- a/cells/stray_leases.h
+++ b/cells/stray_leases.h
@@ -32,6 +32,9 @@
   /// was sent commands.
   Instant Limit(const RunnerListing& listing, Instant limit);
 
+  /// Whether this incarnation is later than the newest one that commands were meant for.
+  bool IsLater(const RunnerListing& listing) const;
+
   /// Returns when such leases end on a runner that former owners have sent commands to;
   /// `Instant{}` if there are none. `limit` is the end of those by commands that were executed
   /// before the takeover.
--- a/tests/cells/cell_takeover_test.cc
+++ b/tests/cells/cell_takeover_test.cc
@@ -118,6 +118,8 @@
   static constexpr Resources kCapacity{8'000, 8'000, 0};
   static constexpr std::size_t kRunners = 3;
   static constexpr milliseconds kReactionTime{500};
+  /// Discovery drops an entry after three heartbeat intervals of silence.
+  static constexpr milliseconds kUnlistedAfter{4'500};
 
   void StartTask() {
     Begin(kRunners, kCapacity);
@@ -148,6 +150,18 @@
     running_[host_].clear();
   }
 
+  void TakeOver() { Begin(kRunners, kCapacity); }
+
+  /// Discovery drops the entry of a runner.
+  void Unlist(const std::string& id) {
+    std::vector<RunnerListing> listings;
+    for (std::size_t runner = 0; runner < kRunners; ++runner) {
+      if (RunnerName(runner) == id) continue;
+      listings.push_back(cell_->FindRunnerById(RunnerName(runner))->listing);
+    }
+    cell_->SetRunners(listings, Time());
+  }
+
   std::string host_;          ///< The runner with the task.
   std::string down_machine_;  ///< The runner whose machine is taken down at the takeover.
 };
@@ -178,6 +192,49 @@
   CHECK(starts_.size() == 1);
 }
 
+// Guards against LOST (issue 54): the machine of a long-running task was taken down while the owner
+// changed. The new owner waited for an incarnation that might have followed, for the longest lease,
+// although discovery no longer listed the runner; and each further owner began that wait anew.
+TEST_CASE_METHOD(LongRunningTaskAfterTakeoverTest,
+                 "LongRunningTask_ItsMachineGoesDownAtTakeover_RunsAgainOnceUnlisted") {
+  StartTask();
+  EndRunnerOfTask();
+  TakeOver();
+  cell_->HandleMachineDown(host_, Time());
+  AdvanceTime(kUnlistedAfter);
+  CHECK(starts_.size() == 1);
+  Unlist(host_);
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.size() == 2);
+}
+
+TEST_CASE_METHOD(LongRunningTaskAfterTakeoverTest,
+                 "LongRunningTask_ItsMachineGoesDownBetweenTwoTakeovers_RunsAgainInTime") {
+  StartTask();
+  EndRunnerOfTask();
+  const Instant ended = now_;
+  TakeOver();
+  cell_->HandleMachineDown(host_, Time());
+  AdvanceTime(milliseconds(2'000));
+  TakeOver();
+  AdvanceTime(kUnlistedAfter);
+  Unlist(host_);
+  AdvanceTime(std::chrono::duration_cast<milliseconds>(ended + kMaxUnavailable - now_));
+  CHECK(starts_.size() == 2);
+}
+
+// Guards against TWICE: a runner that discovery lists may have restarted, and run the task on a
+// command of the former owner.
+TEST_CASE_METHOD(LongRunningTaskAfterTakeoverTest,
+                 "LongRunningTask_RestartedRunnerOutOfReachIsListed_WaitsForTheLongestLease") {
+  StartTask();
+  EndRunnerOfTask();
+  ++earlier_incarnations_[host_];
+  TakeOver();
+  AdvanceTime(CellOptions().max_lease_after_renewal + kReactionTime);
+  CHECK(starts_.size() == 1);
+}
+
 // Guards against waves and moves that stalled after a takeover: one unresponsive runner prevented
 // the maintenance of all others.
 TEST_CASE_METHOD(UnresponsiveRunnerTest,
