--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -423,6 +423,7 @@
   RemoveExpiredStrayLeases(time.now);
   DropExpiredCapacityReservations(time.now);
   Schedule(time);
+  LogWaitingTasks(time.now);
   if (commits_.StallDuration(time.now) > options_.commit_stall_timeout) {
     RefuseUnsentJobs();
     RefuseUnsentCancelledIds();
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -468,6 +468,10 @@
                                              const TaskId& id, Instant now) const;
   bool MayHost(const JobEntry& entry, const Runner& runner, const TaskId& id, Instant now) const;
   void EarmarkCapacity(const JobEntry& entry, const TaskId& id, Instant now);
+  void LogWaitingTasks(Instant now);
+  void LogWaitingTask(const JobEntry& entry, const TaskId& id, Instant now) const;
+  std::string DescribeObstacles(const JobEntry& entry, const TaskId& id, Instant now) const;
+  Instant WaitingSince(const JobEntry& entry, const TaskState& task) const;
 
   std::map<std::string, Resources> LargestCapacities() const;
   static bool OffersCapacity(const Runner& runner, const TaskId& task, Instant now);
@@ -554,6 +558,7 @@
   bool limited_by_teams_ = false;
   std::unordered_set<JobId> jobs_to_rank_;  ///< Jobs to be ranked again.
   Instant rank_all_at_{};
+  Instant waits_checked_at_{};
   RejectedSizes rejected_sizes_;
   std::set<RunnerKey>
       newly_open_runners_;  ///< Runners that may have gained capacity since sizes were rejected.
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -61,6 +61,7 @@
                          {"report_age_ms", Concat(MillisOf(time.now - runner->clock_read_at))}});
   }
   entry->job.Unplace(id);
+  task->freed_at = time.now;
   jobs_to_rank_.insert(id.job);
   schedule_requested_ = true;
 }
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -60,6 +60,7 @@
   RunnerKey runner = kNoRunner;     ///< The runner on which it is placed.
   RunnerKey failed_on = kNoRunner;  ///< The runner of the last failure.
   Instant failed_at{};       ///< Time of the last failure; the runner is avoided for a while.
+  Instant freed_at{};        ///< When the last run of this owner's term ended or was given up.
   std::string checkpoint;    ///< Latest saved progress; empty if none.
   Instant earliest_start{};  ///< Delays the restart after consecutive failures.
   /// No runner out of reach can be running the task: it was reported as running elsewhere when no
