--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -25,20 +25,24 @@
 
 }  // namespace
 
-CellWorld::CellWorld() : now_(Duration(std::chrono::hours(1))), hidden_restarts_(kRunners) {
-  for (std::size_t i = 0; i < kRunners; ++i) {
-    RunnerListing listing;
-    listing.id = "runner-" + std::to_string(i);
-    listing.service = kService;
-    listing.rack = "r" + std::to_string(i % 2);
-    listing.labels = {"a", listing.rack};
-    listing.capacity = {kCores, kMemory, 0};
-    listing.started_at = milliseconds(1'000 + i);
-    runners_.emplace_back(listing, now_ - std::chrono::seconds(1));
-  }
+CellWorld::CellWorld() : now_(Duration(std::chrono::hours(1))) {
+  while (runners_.size() < kRunners) AddRunner();
   StartOwner(kTokenStep);
 }
 
+void CellWorld::AddRunner() {
+  const std::size_t index = runners_.size();
+  RunnerListing listing;
+  listing.id = "runner-" + std::to_string(index);
+  listing.service = kService;
+  listing.rack = "r" + std::to_string(index % 2);
+  listing.labels = {"a", listing.rack};
+  listing.capacity = {kCores, kMemory, 0};
+  listing.started_at = milliseconds(1'000 + index);
+  runners_.emplace_back(listing, now_ - std::chrono::seconds(1));
+  hidden_restarts_.emplace_back();
+}
+
 const Cell* CellWorld::cell() const { return owners_.back()->cell.get(); }
 
 CellTime CellWorld::Time() const {
@@ -88,6 +92,7 @@
   owners_.push_back(std::move(owner));
   const std::size_t index = owners_.size() - 1;
   holder_ = index;
+  availability_.Disrupt(now_);
   Restore(index);
   Renew(index);
 }
@@ -176,11 +181,13 @@
 void CellWorld::Append(std::size_t index, const AppendRequest& request) {
   const TermToken token = owners_[index]->token;
   const bool late = late_appends_ > 0 && late_appends_-- > 0;
+  if (late) availability_.Disrupt(now_ + append_delay_);
   After(milliseconds(4) + (late ? append_delay_ : milliseconds(0)), [this, index, request, token] {
     const bool lost = lost_append_responses_ > 0 && lost_append_responses_-- > 0;
     const AppendResult result =
         StoreServes(*owners_[index]) ? StoreAppend(token, request) : AppendResult::kRefused;
     const milliseconds response_delay = lost ? milliseconds(1'000) : milliseconds(1);
+    if (lost) availability_.Disrupt(now_ + response_delay);
     After(response_delay, [this, index, request, result, lost] {
       OnOwner(index, [=, this](Owner* owner) {
         if (lost || result == AppendResult::kRefused) {
@@ -245,6 +252,7 @@
   }
   mix_ = Mix(mix_ + command.run);
   const milliseconds delay = late ? kMinLateDelay + milliseconds(mix_ % 10'000) : milliseconds(1);
+  if (late) availability_.Disrupt(now_ + delay);
   auto has_responded = std::make_shared<bool>(false);
   const auto respond = [this, index, command, has_responded](CommandOutcome outcome) {
     if (std::exchange(*has_responded, true)) return;
@@ -303,6 +311,7 @@
       Pump(index);
     });
   };
+  if (late) availability_.Disrupt(now_ + kMinLateDelay);
   After(kCommandTimeout, [respond] { respond({CommandStatus::kNoResponse, {}}); });
   After(late ? kMinLateDelay : milliseconds(1),
         [this, index, id, command, fence, late, known, respond] {
@@ -347,6 +356,7 @@
 
 void CellWorld::SendLatePoll(std::size_t index, std::size_t runner, FenceToken fence,
                              const PollRequest& request) {
+  availability_.Disrupt(now_ + poll_delay_);
   After(poll_delay_, [=, this] {
     if (!runners_[runner].alive || IsCut(index, runners_[runner])) return;
     runners_[runner].Poll(fence, request, now_, &oracle_);
@@ -393,7 +403,9 @@
   std::vector<RunnerListing> listings;
   for (std::size_t i = 0; i < runners_.size(); ++i) {
     const HiddenRestart& hidden = hidden_restarts_[i];
-    if (now_ < hidden.until) {
+    if (const auto gone = gone_.find(i); gone != gone_.end()) {
+      if (now_ < gone->second) listings.push_back(runners_[i].listing);
+    } else if (now_ < hidden.until) {
       if (hidden.shown) listings.push_back(*hidden.shown);
     } else if (runners_[i].alive) {
       listings.push_back(runners_[i].listing);
@@ -416,6 +428,7 @@
 }
 
 void CellWorld::ChangeGroup(std::uint64_t changes) {
+  availability_.Disrupt(now_);
   generation_ += changes * kTokenStep;
   OnOwner(holder_, [this](Owner* owner) {
     if (owner->cell != nullptr) owner->cell->RecordOwnership(generation_, now_);
@@ -456,33 +469,37 @@
 void CellWorld::Freeze(milliseconds duration) { owners_.back()->frozen_until = now_ + duration; }
 
 void CellWorld::CrashRunner(std::size_t which) {
-  const std::size_t index = which % runners_.size();
+  const std::size_t index = IndexOfPresent(which);
   if (relayed_ && runners_[index].alive) HideCrash(index);
+  if (runners_[index].alive) availability_.Disrupt(now_);
   runners_[index].Crash(&oracle_);
 }
 
-void CellWorld::RestartRunner(std::size_t which) {
-  const std::size_t index = which % runners_.size();
+void CellWorld::RestartRunner(std::size_t which) { Restart(IndexOfPresent(which)); }
+
+void CellWorld::Restart(std::size_t index) {
+  availability_.Disrupt(now_);
   runners_[index].Restart(now_, &oracle_);
   hidden_restarts_[index] = {};
   if (relayed_) ReopenRelay(index);
 }
 
 void CellWorld::CutRunner(std::size_t which, milliseconds duration) {
-  runners_[which % runners_.size()].cut_until = now_ + duration;
+  runners_[IndexOfPresent(which)].cut_until = now_ + duration;
+  availability_.Disrupt(now_);
 }
 
 void CellWorld::CutRunnerFromSuccessors(std::size_t which, milliseconds duration) {
-  one_sided_cuts_[runners_[which % runners_.size()].listing.id] = {owners_.size(), now_ + duration};
+  one_sided_cuts_[runners_[IndexOfPresent(which)].listing.id] = {owners_.size(), now_ + duration};
 }
 
 void CellWorld::DrainRunner(std::size_t which) {
-  runners_[which % runners_.size()].listing.draining = true;
+  runners_[IndexOfPresent(which)].listing.draining = true;
 }
 
 void CellWorld::ReserveRunner(std::size_t which) {
   const std::size_t index = owners_.size() - 1;
-  const std::string id = runners_[which % runners_.size()].listing.id;
+  const std::string id = runners_[IndexOfPresent(which)].listing.id;
   OnOwner(index, [=, this](Owner* owner) {
     if (owner->cell == nullptr || owner->cell->deposed()) return;
     owner->cell->ReserveRunner(id, Time());
@@ -530,8 +547,9 @@
   delayed_commands_ = delayed_polls_ = lost_append_responses_ = delayed_submissions_ =
       late_appends_ = lost_responses_ = held_up_polls_ = 0;
   for (std::size_t i = 0; i < runners_.size(); ++i) {
+    if (gone_.contains(i)) continue;
     runners_[i].listing.draining = false;
-    if (!runners_[i].alive) RestartRunner(i);
+    if (!runners_[i].alive) Restart(i);
   }
   ListRestarts();
   Advance(kRecoveryTime);
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -15,6 +15,7 @@
 
 #include "cells/cell.h"
 #include "cells/job_store.h"
+#include "tests/cells/availability_oracle.h"
 #include "tests/cells/job_oracle.h"
 #include "tests/cells/sim_gangs.h"
 #include "tests/cells/sim_runner.h"
@@ -93,6 +94,17 @@
   void CutRunner(std::size_t which, std::chrono::milliseconds duration);
   /// Owners that start after the present one cannot reach the runner; the present one can.
   void CutRunnerFromSuccessors(std::size_t which, std::chrono::milliseconds duration);
+  /// The runner crashes and never restarts. Here and below, a runner that leaves for good keeps its
+  /// entry in discovery until that expires, another one with a new id joins in its place, and
+  /// nothing happens if few runners are left.
+  void CrashRunnerForGood(std::size_t which);
+  /// No owner ever reaches the runner again. Its runs last until its lease ends.
+  void CutRunnerForGood(std::size_t which);
+  /// The machine of a runner is taken down for maintenance: the present owner is asked until it
+  /// releases the machine, which goes down after `lead` for good. The owner at that time is told
+  /// after `notice`.
+  void TakeDownMachine(std::size_t which, std::chrono::milliseconds lead,
+                       std::chrono::milliseconds notice);
   void DrainRunner(std::size_t which);
   /// Reserves the runner, so that no task starts there until the reservation ends.
   void ReserveRunner(std::size_t which);
@@ -109,6 +121,9 @@
   /// The store refuses the calls of the newest owner, and serves those of its successors.
   void CutOwnerFromStore(std::chrono::milliseconds duration);
 
+  /// From now on checks that no long-running task is left without a run. Called once.
+  void WatchAvailability();
+
   /// Ends the injected faults, waits, and checks the final state of every job.
   void EndFaultsAndCheck();
 
@@ -203,6 +218,13 @@
     Instant until{};
   };
 
+  /// See `TakeDownMachine`.
+  struct MachineOrder {
+    std::chrono::milliseconds lead{0};
+    std::chrono::milliseconds notice{0};
+    Instant until{};  ///< The order is given up if the machine is not released by then.
+  };
+
   CellTime Time() const;
   void At(Instant time, std::function<void()> action);
   void After(std::chrono::milliseconds delay, std::function<void()> action);
@@ -254,7 +276,20 @@
   /// Returns a number below `bound` that varies deterministically.
   std::uint64_t Draw(std::uint64_t bound);
   std::vector<RunnerListing> Listings() const;
-  void ListRunners();
+  void AddRunner();
+  void Restart(std::size_t index);
+  /// Index of the chosen runner among those that have not left for good.
+  std::size_t IndexOfPresent(std::size_t which) const;
+  bool MayLeave(std::size_t index) const;
+  bool NewestOwnerServes() const;
+  void RemoveForGood(std::size_t index);
+  void OrderMachineDown(std::size_t index, const MachineOrder& order);
+  void PowerOff(std::size_t index, const MachineOrder& order);
+  void ReportMachineDown(std::size_t index);
+  void ObserveAvailability();
+  bool IsDisrupted() const;
+  bool HasCapacityTwiceOver(const JobId& job, const StepSpec& step,
+                            const std::vector<RunnerListing>& listings) const;
   /// Index of the owner that a call reaches; see `Submit`.
   std::size_t ChooseOwner(std::size_t choice) const;
   /// Runs `action` on the chosen owner if it serves callers.
@@ -275,6 +310,10 @@
   bool has_gangs_ = false;                             ///< A job with a gang was submitted.
   std::map<std::string, OneSidedCut> one_sided_cuts_;  ///< By runner id.
   JobOracle oracle_;
+  AvailabilityOracle availability_;
+  /// Runners that have left for good, by index, and when discovery removes their entries.
+  std::map<std::size_t, Instant> gone_;
+  std::set<std::size_t> leaving_;  ///< Indices of runners whose machines are to be taken down.
   std::vector<Submitted> submitted_;
   CallNumber last_call_ = 0;
   /// Incarnation that an owner's poll connection leads to, by owner and runner index.
--- a/tests/cells/cell_world_relay.cc
+++ b/tests/cells/cell_world_relay.cc
@@ -63,7 +63,7 @@
 }
 
 void CellWorld::RespondOverRelay(const RelayedCallPtr& call, std::function<void(Owner*)> handle) {
-  if (lost_responses_ > 0 && lost_responses_-- > 0) return;
+  if (lost_responses_ > 0 && lost_responses_-- > 0) return availability_.Disrupt(now_);
   After(call->response_delay, [this, call, handle = std::move(handle)] {
     if (IsCut(call->connection.owner, runners_[call->connection.runner])) return;
     EndRelayedCall(call, handle);
@@ -184,6 +184,7 @@
   const bool verified = relayed_labels_[connection] == known;
   const bool held_up = held_up_polls_ > 0 && held_up_polls_-- > 0;
   const bool response_held_up = held_up && Draw(2) == 0;
+  if (held_up) availability_.Disrupt(now_ + hold_up_);
   auto call = std::make_shared<RelayedCall>();
   call->connection = connection;
   if (response_held_up) call->response_delay = kLatency + hold_up_;
@@ -242,7 +243,7 @@
 }
 
 void CellWorld::RestartRunnerUnlisted(std::size_t which, milliseconds lag) {
-  const std::size_t index = which % runners_.size();
+  const std::size_t index = IndexOfPresent(which);
   if (runners_[index].alive) CrashRunner(which);
   const HiddenRestart& hidden = hidden_restarts_[index];
   const auto shown = now_ < hidden.until ? hidden.shown : std::nullopt;
@@ -256,7 +257,9 @@
 
 void CellWorld::EndCuts() {
   one_sided_cuts_.clear();
-  for (SimRunner& runner : runners_) runner.cut_until = now_;
+  for (std::size_t index = 0; index < runners_.size(); ++index) {
+    if (!gone_.contains(index)) runners_[index].cut_until = now_;
+  }
 }
 
 }  // namespace wigeonlane
--- a/tests/cells/job_oracle.h
+++ b/tests/cells/job_oracle.h
@@ -137,6 +137,9 @@
     }
   }
 
+  /// Records that a long-running task is without a run for longer than allowed.
+  void Unavailable(const TaskId& task) { Break("LOST: without a run ", task); }
+
   void Lost(const JobId& id, const std::string& reason) { Break("LOST: " + reason + " ", {id}); }
 
   void Overfull(const std::string& runner) {
