--- a/tests/cells/cell_availability_fuzz_test.cc
+++ b/tests/cells/cell_availability_fuzz_test.cc
@@ -24,6 +24,13 @@
 /// Long enough for the oracle to find a wait that began before it.
 constexpr milliseconds kCalm{10'000};
 
+/// A cell forgets final jobs after 130 s (platform: status_s); the last check comes before that.
+constexpr milliseconds kMaxElapsed{70'000};
+
+void Rest(CellWorld* world, milliseconds duration) {
+  if (world->elapsed() < kMaxElapsed) world->Advance(duration);
+}
+
 void SubmitLongRunningJob(CellWorld* world, std::size_t outcome_seed) {
   if (world->long_running_jobs() < kMaxLongRunningJobs) {
     world->Submit(kLongRunningShape, kNoFailure + outcome_seed);
@@ -50,8 +57,8 @@
 WIGEONLANE_WORLD_COMMAND(CellWorld, SubmitShort, SubmitShortJob(world, a, b));
 WIGEONLANE_WORLD_COMMAND(CellWorld, Cancel, if (b < 4) world->Cancel(a));
 WIGEONLANE_WORLD_COMMAND(CellWorld, Step, world->Advance(milliseconds(1 + 5 * a)));
-WIGEONLANE_WORLD_COMMAND(CellWorld, Wait, world->Advance(milliseconds(50 * a)));
-WIGEONLANE_WORLD_COMMAND(CellWorld, Calm, world->Advance(kCalm));
+WIGEONLANE_WORLD_COMMAND(CellWorld, Wait, Rest(world, milliseconds(50 * a)));
+WIGEONLANE_WORLD_COMMAND(CellWorld, Calm, Rest(world, kCalm));
 WIGEONLANE_WORLD_COMMAND(CellWorld, TakeOver, world->TakeOver(a < 32));
 WIGEONLANE_WORLD_COMMAND(CellWorld, LoseOwners,
                          world->LoseOwners(1 + a % 4, milliseconds(50 * b), c % 2 == 0));
--- a/tests/cells/cell_availability_test.cc
+++ b/tests/cells/cell_availability_test.cc
@@ -2,6 +2,7 @@
 /// without a run for longer than the platform's rule LOST allows.
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <vector>
 
 #include "tests/cells/cell_world.h"
 
@@ -12,7 +13,11 @@
 
 /// A long-running job with two tasks, which start on the first two of four runners.
 constexpr std::size_t kLongRunningShape = 3;
+/// Its short tasks start on all runners.
+constexpr std::size_t kWideShape = 2;
+constexpr std::size_t kShortShape = 0;
 constexpr std::size_t kOutcomeSeed = 17;
+constexpr std::size_t kRunners = 4;
 constexpr std::size_t kHost = 0;
 constexpr std::size_t kIdleRunner = 2;
 constexpr std::size_t kOtherIdleRunner = 3;
@@ -30,7 +35,17 @@
   void StartJob() {
     Submit();
     world_.Advance(milliseconds(2'000));
-    REQUIRE(world_.RunnersOf(0) == std::vector<std::size_t>{kHost, kHost + 1});
+    job_ = world_.jobs() - 1;
+    REQUIRE(world_.RunnersOf(job_) == std::vector<std::size_t>{kHost, kHost + 1});
+  }
+
+  /// Its tasks start on the same runners as those of the long-running job, and end within 2 s.
+  void SubmitShortJob() { world_.Submit(kShortShape, kOutcomeSeed); }
+
+  void FailOwnerAndThenHost() {
+    world_.TakeOver(true);
+    world_.Advance(milliseconds(50));
+    world_.CrashRunnerForGood(kHost);
   }
 
   /// The machine of an idle runner goes down 10 ms before the owner changes, and the new owner is
@@ -46,10 +61,11 @@
     world_.Advance(kMaxUnavailable + milliseconds(1'000));
     INFO(world_.broken());
     CHECK(world_.broken().empty());
-    CHECK(world_.RunnersOf(0).size() == 2);
+    CHECK(world_.RunnersOf(job_).size() == 2);
   }
 
   CellWorld world_;
+  std::size_t job_ = 0;  ///< Index of the long-running job.
 };
 
 // Guards against LOST (issue 54): the owner is told that a machine is down which it has not
@@ -123,6 +139,63 @@
   CheckRunsAgainInTime();
 }
 
+// Guards against LOST (issue 54): a start is sent to a runner that has restarted. Its next
+// incarnation, which no call has reached, leaves for good and is waited for after discovery has
+// dropped it.
+TEST_CASE_METHOD(CellAvailabilityTest,
+                 "LongRunningTask_RestartedRunnerLeavesAfterStart_RunsAgainInTime") {
+  world_.Advance(milliseconds(2'000));
+  world_.RestartRunner(kHost);
+  Submit();
+  world_.CrashRunnerForGood(kHost);
+  CheckRunsAgainInTime();
+}
+
+// Guards against LOST (issue 54): a runner was cut off for a moment and has responded since, the
+// same incarnation. The successor still counts on longer leases there, and waits for them once the
+// runner fails.
+TEST_CASE_METHOD(CellAvailabilityTest,
+                 "LongRunningTask_ItsRunnerWasCutOffBeforeTakeover_RunsAgainInTime") {
+  world_.Advance(milliseconds(2'000));
+  world_.CutRunner(kHost, milliseconds(100));
+  SubmitShortJob();
+  world_.Advance(milliseconds(4'000));
+  StartJob();
+  FailOwnerAndThenHost();
+  CheckRunsAgainInTime();
+}
+
+// Guards against LOST (issue 54): a stored bound of the leases on a restarted runner is almost over
+// and begins anew at the successor.
+TEST_CASE_METHOD(CellAvailabilityTest,
+                 "LongRunningTask_ItsRunnerRestartedLongBeforeTakeover_RunsAgainInTime") {
+  world_.Advance(milliseconds(2'000));
+  SubmitShortJob();
+  world_.Advance(milliseconds(1'500));
+  for (std::size_t runner = 0; runner < kRunners; ++runner) world_.RestartRunner(runner);
+  world_.Advance(milliseconds(8'000));
+  StartJob();
+  FailOwnerAndThenHost();
+  CheckRunsAgainInTime();
+}
+
+// Guards against LOST (issue 54): all runners restart, one fails soon after it got a task, and the
+// owner waits for leases that late commands to its earlier incarnation may have granted, although
+// discovery does not list it any more.
+TEST_CASE_METHOD(CellAvailabilityTest,
+                 "LongRunningTask_ItsRunnerFailsSoonAfterARestart_RunsAgainInTime") {
+  world_.Submit(kWideShape, kOutcomeSeed);
+  world_.Advance(milliseconds(1'500));
+  for (std::size_t runner = 0; runner < kRunners; ++runner) world_.RestartRunner(runner);
+  world_.Advance(milliseconds(600));
+  Submit();
+  job_ = world_.jobs() - 1;
+  world_.Advance(milliseconds(200));
+  REQUIRE(world_.RunnersOf(job_) == std::vector<std::size_t>{kHost, kHost + 1});
+  world_.CrashRunnerForGood(kHost);
+  CheckRunsAgainInTime();
+}
+
 // Guards against LOST (issues 48, 54): runners lose power together; the next start goes to one that
 // has not been called since, and its lease is waited for as well.
 TEST_CASE_METHOD(CellAvailabilityTest,
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -31,6 +31,8 @@
   const std::string& broken() const { return oracle_.first_violation(); }
 
   void Advance(std::chrono::milliseconds step);
+  /// Simulated time since the construction.
+  Duration elapsed() const { return now_ - began_at_; }
 
   /// A caller submits a job. The numbers determine its steps and the outcomes of its tasks.
   /// Here and below, `owner` says whom the call reaches: 0 is the newest owner, other numbers
@@ -302,6 +304,7 @@
   CallResponse ShowAt(const Owner& owner, const JobId& id) const;
 
   Instant now_;
+  Instant began_at_ = now_;
   std::multimap<Instant, std::function<void()>> events_;
   std::vector<std::unique_ptr<Owner>> owners_;
   Store store_;
