--- a/cells/cell.h
+++ b/cells/cell.h
@@ -404,6 +404,7 @@
   void HandleFailure(Runner* runner, JobEntry* entry, const ReportedResult& result,
                      Instant start_sent_at, CellTime time);
   static void DelayRestart(TaskState* task, Instant start_sent_at, Instant now);
+  static void RecordSoundRun(Runner* runner, LiveRun* run, Instant now);
   void HandleReportedRun(Runner* runner, const ReportedRun& reported, CellTime time);
   void FreeVanishedRuns(Runner* runner, const RunnerReport& report, EventNumber poll,
                         CellTime time);
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -10,8 +10,6 @@
 namespace wigeonlane {
 namespace {
 
-/// A long-running task that has run for this long counts as started successfully.
-constexpr std::chrono::seconds kStableRun{5};
 /// Consecutive failures after which a task still restarts at once; healthy tasks fail occasionally.
 constexpr std::uint32_t kImmediateRestarts = 2;
 constexpr std::chrono::milliseconds kFirstRestartDelay{250};
@@ -143,7 +141,7 @@
 /// Delays the restart of a long-running task that keeps failing soon after its start, longer each
 /// time; otherwise its restarts would displace tasks of other jobs.
 void Cell::DelayRestart(TaskState* task, Instant start_sent_at, Instant now) {
-  const bool soon = start_sent_at != Instant{} && now - start_sent_at < kStableRun;
+  const bool soon = !RunnerHealth::IsSoundRun(start_sent_at, now);
   task->consecutive_failures = soon ? task->consecutive_failures + 1 : 0;
   if (task->consecutive_failures <= kImmediateRestarts) return;
   const auto doublings =
@@ -155,24 +153,33 @@
                          Instant start_sent_at, CellTime time) {
   ++counters_.runs_failed;
   TaskState* task = entry->job.FindTask(result.task);
+  const bool long_running = entry->job.spec().steps[result.task.step].long_running;
   // A task that has failed on two runners is assumed to be at fault itself.
   const bool failed_elsewhere = task->failed_on != kNoRunner && task->failed_on != runner->key;
   if (failed_elsewhere) {
     runner->health.RecordInconclusiveFailure(time.now);
+  } else if (long_running) {
+    runner->health.RecordLongRunningFailure(result.task.job, start_sent_at, time.now);
   } else {
     runner->health.RecordFailure(result.task.job, time.now);
   }
   task->failed_on = runner->key;
   task->failed_at = time.now;
-  if (entry->job.spec().steps[result.task.step].long_running) {
-    DelayRestart(task, start_sent_at, time.now);
-  }
+  if (long_running) DelayRestart(task, start_sent_at, time.now);
   const std::uint32_t failures = task->failures();
   const bool job_failed = entry->job.MarkFailed(result.task, result.run);
   if (task->failures() != failures) MarkDirty(entry);
   if (job_failed) StopJob(entry, time.now);
 }
 
+/// Records once that a long-running task has started up and has been at work for some time.
+void Cell::RecordSoundRun(Runner* runner, LiveRun* run, Instant now) {
+  const bool started_here = run->long_running && run->start_sent_at != Instant{};
+  if (!started_here || run->is_sound || run->percent < PaceControl::kFullPercent) return;
+  run->is_sound = RunnerHealth::IsSoundRun(run->start_sent_at, now);
+  if (run->is_sound) runner->health.RecordSuccess();
+}
+
 void Cell::HandleReportedRun(Runner* runner, const ReportedRun& reported, CellTime time) {
   JobEntry* entry = FindJob(reported.task.job);
   TaskState* task = FindReportedTask(entry, reported.task, time.wall);
@@ -187,6 +194,7 @@
     live->executed_here = true;
     live->known_since = ++last_event_;
     live->percent = reported.percent;
+    RecordSoundRun(runner, live, time.now);
     if (task != nullptr && !reported.checkpoint.empty()) task->checkpoint = reported.checkpoint;
     return;
   }
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -65,6 +65,7 @@
   /// that were sent later include it. 0 if there is none.
   EventNumber known_since = 0;
   std::uint32_t percent = 0;  ///< As last reported; a task has started up once it is at 100.
+  bool is_sound = false;      ///< A long-running run that its runner's health has counted.
 };
 
 /// State of one incarnation of a runner. The cell updates it and makes all decisions.
--- a/scheduling/runner_health.h
+++ b/scheduling/runner_health.h
@@ -4,6 +4,10 @@
 /// Load pattern: a few runners that report themselves as healthy fail or refuse every task, while
 /// other jobs can never succeed. A runner becomes suspect when tasks of several jobs in a row have
 /// failed on it. A suspect runner gets one task at a time, as a probe, until one succeeds.
+///
+/// Long-running tasks never end `done`, and many may fail at once when something fails that all of
+/// them need. What shows the health of their runner is how their runs begin: one that has been at
+/// work for `kSoundRun` has succeeded, and says nothing about the runner when it fails later.
 #ifndef WIGEONLANE_SCHEDULING_RUNNER_HEALTH_H_
 #define WIGEONLANE_SCHEDULING_RUNNER_HEALTH_H_
 
@@ -24,8 +28,18 @@
   /// Delay before the first probe of a suspect runner; doubles with each failed probe.
   static constexpr std::chrono::milliseconds kInitialProbeDelay{1'000};
   static constexpr std::chrono::milliseconds kMaxProbeDelay{8'000};
+  /// A long-running task that has run for this long was started successfully.
+  static constexpr std::chrono::seconds kSoundRun{5};
+
+  /// Whether a long-running task has run for `kSoundRun`, or for a time that this owner doesn't
+  /// know because a former one started it (`started` is `Instant{}`).
+  static bool IsSoundRun(Instant started, Instant now) {
+    return started == Instant{} || now - started >= kSoundRun;
+  }
 
-  /// Records that a task succeeded: the runner is healthy again.
+  /// Records that a task ended `done`, or that a run of a long-running task has become a sound one,
+  /// which must be counted only once: old runs may go on while all new ones fail. The runner is
+  /// healthy again.
   void RecordSuccess() {
     consecutive_failures_ = 0;
     probe_delay_ = kInitialProbeDelay;
@@ -45,6 +59,11 @@
     next_start_at_ = now + probe_delay_;
   }
 
+  /// Records the failure of a long-running task of `job`, which was started at `started`.
+  void RecordLongRunningFailure(const JobId& job, Instant started, Instant now) {
+    if (!IsSoundRun(started, now)) RecordFailure(job, now);
+  }
+
   /// Records the failure of a task that is itself at fault. Such a probe says nothing about the
   /// runner, so another one may start at once.
   void RecordInconclusiveFailure(Instant now) {
--- a/tests/cells/cell_placement_test.cc
+++ b/tests/cells/cell_placement_test.cc
@@ -1,5 +1,7 @@
 /// Tests of placement after failures of tasks and polls.
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <string>
 
 #include "tests/cells/scripted_cell.h"
 
@@ -24,6 +26,42 @@
     step.need = {1'000, 1'000, 0};
     return step;
   }
+
+  /// Submits jobs of `tasks` long-running tasks, at most one of a job on each runner.
+  void SubmitLongRunningJobs(int jobs, std::uint32_t tasks) {
+    StepSpec step = SmallStep();
+    step.count = tasks;
+    step.long_running = true;
+    step.max_per_runner = 1;
+    step.max_unavailable = 1;
+    for (int job = 0; job < jobs; ++job) {
+      Submit(step, {}, "00000000000000e" + std::to_string(job));
+      AdvanceTime(milliseconds(20));
+    }
+  }
+
+  std::size_t RunningTasks() const {
+    std::size_t tasks = 0;
+    for (const auto& [runner, runs] : running_) tasks += runs.size();
+    return tasks;
+  }
+
+  void FailAllRuns() {
+    for (const auto& [runner, runs] : running_) {
+      while (!runs.empty()) FailOldest(runner);
+    }
+  }
+
+  /// Fails the run that the runner has started last.
+  void FailNewest(const std::string& runner) {
+    auto& runs = running_[runner];
+    std::rotate(runs.rbegin(), runs.rbegin() + 1, runs.rend());
+    FailOldest(runner);
+  }
+
+  bool IsSuspect(std::size_t runner) const {
+    return cell_->FindRunnerById(RunnerName(runner))->health.suspect();
+  }
 };
 
 // Guards against a task that is never started again (LOST): it has failed on the only runner that
@@ -136,5 +174,71 @@
   CHECK(starts_.size() == earlier_starts + 1);
 }
 
+// Guards against tasks without a run beside healthy, idle runners (LOST): long-running tasks that
+// depend on one thing fail together, and each runner on which several of them ran counts as faulty.
+TEST_CASE_METHOD(CellPlacementTest, "LongRunningTasks_AllFailAtOnceAfterSoundRuns_StartAgain") {
+  BeginWith(9);
+  SubmitLongRunningJobs(10, 5);
+  AdvanceTime(milliseconds(10'000));
+  REQUIRE(RunningTasks() == 50);
+  FailAllRuns();
+  AdvanceTime(kMaxUnavailable);
+  CHECK(RunningTasks() == 50);
+}
+
+// Guards against single failures that add up over any time: long-running tasks never end `done`.
+TEST_CASE_METHOD(CellPlacementTest, "Runner_SingleFailuresBetweenSoundRuns_IsNotSuspect") {
+  BeginWith(1);
+  SubmitLongRunningJobs(4, 1);
+  AdvanceTime(milliseconds(10'000));
+  REQUIRE(RunningTasks() == 4);
+  for (int round = 0; round < 8; ++round) {
+    // The oldest run, of another job each time, fails, and then its next run soon after its start.
+    FailOldest(RunnerName(0));
+    AdvanceTime(milliseconds(2'000));
+    REQUIRE(RunningTasks() == 4);
+    FailNewest(RunnerName(0));
+    AdvanceTime(milliseconds(8'000));
+    CHECK(RunningTasks() == 4);
+    CHECK_FALSE(IsSuspect(0));
+  }
+}
+
+// Guards against a faulty runner that is not avoided: long-running tasks run on beside the tasks
+// that it fails, and their number must not clear it.
+TEST_CASE_METHOD(CellPlacementTest, "Runner_FailsAllStartsBesideSoundLongRunningTasks_IsAvoided") {
+  BeginWith(1);
+  SubmitLongRunningJobs(4, 1);
+  AdvanceTime(milliseconds(10'000));
+  REQUIRE(RunningTasks() == 4);
+  QueuePolicy policy;
+  policy.max_attempts = 1;
+  const std::size_t earlier_starts = starts_.size();
+  for (int job = 10; job < 100; ++job) {
+    Submit(SmallStep(), policy, "00000000000000" + std::to_string(job));
+    AdvanceTime(milliseconds(300));
+    while (running_[RunnerName(0)].size() > 4) FailNewest(RunnerName(0));
+  }
+  // In 27 s: two until it is suspect, then probes after 1 s, 2 s, 4 s and each 8 s.
+  CHECK(starts_.size() - earlier_starts <= 8);
+  CHECK(IsSuspect(0));
+}
+
+// Guards against tasks without a run beside healthy runners (LOST): what long-running tasks need is
+// unavailable for a while, so that each start fails and all runners are suspect when it is back.
+TEST_CASE_METHOD(CellPlacementTest, "LongRunningTasks_AllRunnersAreSuspect_StartAgainInTime") {
+  BeginWith(9);
+  SubmitLongRunningJobs(10, 5);
+  AdvanceTime(milliseconds(10'000));
+  REQUIRE(RunningTasks() == 50);
+  for (int second = 0; second < 20; ++second) {
+    FailAllRuns();
+    AdvanceTime(milliseconds(1'000));
+  }
+  FailAllRuns();
+  AdvanceTime(kMaxUnavailable);
+  CHECK(RunningTasks() == 50);
+}
+
 }  // namespace
 }  // namespace wigeonlane
--- a/tests/scheduling/policy_test.cc
+++ b/tests/scheduling/policy_test.cc
@@ -68,6 +68,29 @@
   CHECK_FALSE(health.suspect());
 }
 
+// Guards against a runner that is taken for faulty because long-running tasks that it has run well
+// fail, at any time or together (LOST).
+TEST_CASE_METHOD(SchedulingTest, "RunnerHealth_LongRunningTasksFailAfterSoundRuns_NotSuspect") {
+  RunnerHealth health;
+  const Instant started = now_;
+  now_ += RunnerHealth::kSoundRun;
+  for (const char digit : {'1', '2', '3', '4'}) {
+    health.RecordLongRunningFailure(Id(digit), started, now_);
+  }
+  CHECK_FALSE(health.suspect());
+}
+
+// Guards against a faulty runner that long-running tasks are started on again and again.
+TEST_CASE_METHOD(SchedulingTest, "RunnerHealth_LongRunningTasksFailSoonAfterStart_IsSuspect") {
+  RunnerHealth health;
+  const Instant started = now_;
+  now_ += RunnerHealth::kSoundRun - milliseconds(1);
+  health.RecordLongRunningFailure(Id('1'), started, now_);
+  CHECK_FALSE(health.suspect());
+  health.RecordLongRunningFailure(Id('2'), started, now_);
+  CHECK(health.suspect());
+}
+
 TEST_CASE_METHOD(SchedulingTest, "PaceControl_TailNearsTarget_PaceFallsAtOnceAndRisesSlowly") {
   PaceControl pace;
   CHECK(pace.Update(0.5) == 100);
