--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -170,6 +170,8 @@
     }
     RequestAdvice(entry, occurrence, step, choice.reason, time.now);
     if (long_running) {
+      TaskState* task = entry->job.FindTask(id);
+      if (!task->no_runner_since) task->no_runner_since = time.now;
       const bool waits_for_ticket = choice.reason == NoRunnerReason::kNoTicket;
       if (!waits_for_ticket && !capacity_reservations_.contains(id)) {
         EarmarkCapacity(*entry, id, time.now);
@@ -321,24 +323,29 @@
     }
   }
   RunnerChoice choice;
-  double best_cost = std::numeric_limits<double>::infinity();
+  const TaskState& task = entry.job.occurrences()[id.occurrence].steps[id.step].tasks[id.index];
+  const bool overdue = step.long_running && RunnerHealth::IsOverdue(task.no_runner_since, now);
+  // Runners that do not admit the task come last.
+  std::pair<bool, double> best_cost{true, std::numeric_limits<double>::infinity()};
   bool any_capacity = false;
   const auto consider = [&](Runner& runner) {
     if (runner.listing.service != service || !runner.Free().Holds(load)) return;
-    if (!runner.IsOpen(now) || !runner.HasLabel(step.required_label)) return;
+    if (!runner.AcceptsStarts(now) || !runner.HasLabel(step.required_label)) return;
+    const bool admitted = runner.health.Admits(now);
+    if (!admitted && !overdue) return;
     if (runner.IsEarmarkedForOther(id, now)) return;
-    any_capacity = true;
+    any_capacity = any_capacity || admitted;
     if (const auto obstacle = FindObstacle(entry, runner, id, now)) {
       choice.reason = std::max(choice.reason, *obstacle);
       return;
     }
-    const double cost = CostOf(entry, runner, id, rack, now);
+    const std::pair cost(!admitted, CostOf(entry, runner, id, rack, now));
     if (cost < best_cost) {
       best_cost = cost;
       choice.runner = &runner;
     }
   };
-  if (rejected_sizes_.IsRejected(service, step.required_label, load)) {
+  if (!overdue && rejected_sizes_.IsRejected(service, step.required_label, load)) {
     for (const RunnerKey key : newly_open_runners_) consider(runners_.at(key));
     return choice;
   }
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -66,6 +66,9 @@
   /// No runner out of reach can be running the task: it was reported as running elsewhere when no
   /// former owner could start it any more, or this owner has started it.
   bool accounted_for = false;
+  /// Since when a long-running task that may start has found no runner; nothing if it has not
+  /// tried.
+  std::optional<Instant> no_runner_since;
   std::uint32_t consecutive_failures = 0;  ///< Of a long-running task, each soon after its start.
   /// Numbers of the failed runs. After a takeover, several runners report their results in any
   /// order and more than once, so that a count or the highest number would not be enough.
--- a/scheduling/runner_health.h
+++ b/scheduling/runner_health.h
@@ -13,6 +13,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 #include "core/clock.h"
 #include "jobs/job_id.h"
@@ -30,6 +31,10 @@
   static constexpr std::chrono::milliseconds kMaxProbeDelay{8'000};
   /// A long-running task that has run for this long was started successfully.
   static constexpr std::chrono::seconds kSoundRun{5};
+  /// A long-running task that has found no runner for this long may start on a suspect one. It may
+  /// be unavailable for 9 s (the platform's rule on lost tasks), and all runners may be suspect
+  /// because of something that all tasks need.
+  static constexpr std::chrono::seconds kMaxLongRunningWait{2};
 
   /// Whether a long-running task has run for `kSoundRun`, or for a time that this owner doesn't
   /// know because a former one started it (`started` is `Instant{}`).
@@ -70,9 +75,10 @@
     if (suspect_) next_start_at_ = now;
   }
 
-  /// Records the start of a task. On a suspect runner it is the only one until the delay is over.
+  /// Records the start of a task. On a suspect runner it is the only one until the delay is over,
+  /// apart from long-running tasks that have waited too long: these do not put off the next probe.
   void RecordStart(Instant now) {
-    if (suspect_) next_start_at_ = now + probe_delay_;
+    if (suspect_ && Admits(now)) next_start_at_ = now + probe_delay_;
   }
 
   bool suspect() const { return suspect_; }
@@ -80,6 +86,12 @@
   /// Returns whether another task may be started on the runner.
   bool Admits(Instant now) const { return !suspect_ || now >= next_start_at_; }
 
+  /// Whether a long-running task has waited so long that it may start on a runner that does not
+  /// admit it, if no other runner can take it.
+  static bool IsOverdue(std::optional<Instant> no_runner_since, Instant now) {
+    return no_runner_since && now >= *no_runner_since + kMaxLongRunningWait;
+  }
+
  private:
   std::uint32_t consecutive_failures_ = 0;
   JobId last_failed_job_;
--- a/tests/cells/cell_placement_test.cc
+++ b/tests/cells/cell_placement_test.cc
@@ -15,6 +15,8 @@
   static constexpr Resources kCapacity{32'000, 64'000, 0};
   /// Longest time that a long-running task may be unavailable (the platform's rule on lost tasks).
   static constexpr milliseconds kMaxUnavailable{9'000};
+  /// Longest time that a job may have nothing running while there is capacity for it (same rule).
+  static constexpr milliseconds kMaxIdle{3'000};
 
   void BeginWith(std::size_t runners) {
     Begin(runners, kCapacity);
@@ -240,5 +242,29 @@
   CHECK(RunningTasks() == 50);
 }
 
+// Guards against a task without a run beside an idle runner (LOST) that has recovered and is still
+// suspect because of tasks of other jobs.
+TEST_CASE_METHOD(CellPlacementTest, "LongRunningTask_OnlyPossibleRunnerIsSuspect_StartsInTime") {
+  label_of_[RunnerName(0)] = "large";
+  BeginWith(3);
+  QueuePolicy policy;
+  policy.max_attempts = 1;
+  StepSpec step = SmallStep();
+  step.required_label = "large";
+  std::size_t earlier_starts = 0;
+  for (int job = 10; job < 16; ++job) {
+    Submit(step, policy, "00000000000000" + std::to_string(job));
+    while (starts_.size() == earlier_starts) AdvanceTime(milliseconds(50));
+    earlier_starts = starts_.size();
+    FailOldest(RunnerName(0));
+    AdvanceTime(milliseconds(200));
+  }
+  REQUIRE(IsSuspect(0));
+  step.long_running = true;
+  Submit(step, {}, "00000000000000e0");
+  AdvanceTime(kMaxIdle);
+  CHECK(RunningTasks() == 1);
+}
+
 }  // namespace
 }  // namespace wigeonlane
--- a/tests/scheduling/policy_test.cc
+++ b/tests/scheduling/policy_test.cc
@@ -91,6 +91,19 @@
   CHECK(health.suspect());
 }
 
+// Guards against probes that are put off again and again: long-running tasks that have waited too
+// long start on a suspect runner between its probes.
+TEST_CASE_METHOD(SchedulingTest, "RunnerHealth_StartBetweenProbes_DoesNotPutOffTheNextProbe") {
+  RunnerHealth health;
+  health.RecordFailure(Id('1'), now_);
+  health.RecordFailure(Id('2'), now_);
+  const Instant next_probe = now_ + RunnerHealth::kInitialProbeDelay;
+  now_ = next_probe - milliseconds(1);
+  REQUIRE_FALSE(health.Admits(now_));
+  health.RecordStart(now_);
+  CHECK(health.Admits(next_probe));
+}
+
 TEST_CASE_METHOD(SchedulingTest, "PaceControl_TailNearsTarget_PaceFallsAtOnceAndRisesSlowly") {
   PaceControl pace;
   CHECK(pace.Update(0.5) == 100);
