--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -44,8 +44,11 @@
   if (!runner->claimed) {
     runner->claimed = true;
     // The runner now refuses commands to an earlier incarnation, which may have extended its lease.
-    runner->lease_end = std::min(std::max(runner->lease_end, runner->predecessor_stray_lease_end),
-                                 time.now + options_.MaxStrayLeaseAfterContact());
+    if (runner->is_later) {
+      runner->lease_end = std::max(runner->lease_end, runner->predecessor_stray_lease_end);
+    }
+    runner->lease_end =
+        std::min(runner->lease_end, time.now + options_.MaxStrayLeaseAfterContact());
     LimitStrayLease(runner, time.now);
     LogDecision("claim", {{"runner", runner->listing.id},
                           {"cell", Concat(number_)},
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -178,6 +178,8 @@
   // Commands of a predecessor may have reached this incarnation.
   runner->predecessor_stray_lease_end =
       std::max(runner->predecessor_stray_lease_end, FormerOwnersStrayLeaseEnd());
+  // A successor has to know that there is a later incarnation, whether it is still listed or not.
+  StoreRunnerRecords();
 }
 
 /// Frees starts that no incarnation can be running any more. A runner that discovery does not list
--- a/cells/stray_leases.cc
+++ b/cells/stray_leases.cc
@@ -13,6 +13,19 @@
   std::chrono::milliseconds addressed{0};
   std::chrono::milliseconds contacted{0};
   std::chrono::milliseconds remaining{0};  ///< From the time of writing.
+  std::chrono::milliseconds first_addressed{0};
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(addressed, contacted, remaining, first_addressed);
+  }
+};
+
+/// The form of the versions before, which stored the newest incarnation only.
+struct UnorderedStrayLeaseRecord {
+  std::chrono::milliseconds addressed{0};
+  std::chrono::milliseconds contacted{0};
+  std::chrono::milliseconds remaining{0};
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -20,10 +33,23 @@
   }
 };
 
+/// A record without the first incarnation may be of one that is earlier than any.
+absl::StatusOr<StrayLeaseRecord> DecodeStrayLease(std::string_view bytes) {
+  auto record = Decode<StrayLeaseRecord>(bytes);
+  if (record.ok()) return record;
+  const auto earlier = Decode<UnorderedStrayLeaseRecord>(bytes);
+  if (!earlier.ok()) return record.status();
+  return StrayLeaseRecord{earlier->addressed, earlier->contacted, earlier->remaining,
+                          std::chrono::milliseconds(0)};
+}
+
 }  // namespace
 
 void StrayLeases::Add(const RunnerListing& listing, Instant end) {
-  Bound& bound = bounds_[listing.id];
+  const auto [entry, inserted] = bounds_.try_emplace(listing.id);
+  Bound& bound = entry->second;
+  bound.first_addressed =
+      inserted ? listing.started_at : std::min(bound.first_addressed, listing.started_at);
   bound.addressed = std::max(bound.addressed, listing.started_at);
   bound.contacted = std::chrono::milliseconds(0);
   bound.end = std::max(bound.end, end);
@@ -42,7 +68,7 @@
 
 bool StrayLeases::IsLater(const RunnerListing& listing) const {
   const auto found = bounds_.find(listing.id);
-  return found != bounds_.end() && listing.started_at > found->second.addressed;
+  return found != bounds_.end() && listing.started_at > found->second.first_addressed;
 }
 
 Instant StrayLeases::EndOn(const RunnerListing& listing, Instant limit) const {
@@ -66,15 +92,16 @@
   const Bound& bound = bounds_.at(runner_id);
   return Encode(
       StrayLeaseRecord{bound.addressed, bound.contacted,
-                       std::chrono::ceil<std::chrono::milliseconds>(bound.StoredEnd() - now)});
+                       std::chrono::ceil<std::chrono::milliseconds>(bound.StoredEnd() - now),
+                       bound.first_addressed});
 }
 
 absl::Status StrayLeases::Restore(const std::string& runner_id, std::string_view bytes,
                                   Instant now) {
-  const auto record = Decode<StrayLeaseRecord>(bytes);
+  const auto record = DecodeStrayLease(bytes);
   if (!record.ok()) return record.status();
   const Instant end = now + record->remaining;
-  bounds_[runner_id] = {record->addressed, end, record->contacted, end};
+  bounds_[runner_id] = {record->first_addressed, record->addressed, end, record->contacted, end};
   return absl::OkStatus();
 }
 
--- a/cells/stray_leases.h
+++ b/cells/stray_leases.h
@@ -32,7 +32,8 @@
   /// was sent commands.
   Instant Limit(const RunnerListing& listing, Instant limit);
 
-  /// Whether this incarnation is later than the newest one that commands were meant for.
+  /// Whether this incarnation is later than one that commands were meant for, so that these may
+  /// have granted such a lease on it.
   bool IsLater(const RunnerListing& listing) const;
 
   /// Returns when such leases end on a runner that former owners have sent commands to;
@@ -52,6 +53,8 @@
 
  private:
   struct Bound {
+    /// Start of the first incarnation that commands were meant for.
+    std::chrono::milliseconds first_addressed{0};
     /// Start of the newest incarnation that commands were meant for.
     std::chrono::milliseconds addressed{0};
     Instant end{};
--- a/tests/cells/cell_takeover_test.cc
+++ b/tests/cells/cell_takeover_test.cc
@@ -235,6 +235,58 @@
   CHECK(starts_.size() == 1);
 }
 
+// Guards against TWICE: the former owner had read that the runner had restarted. The next owner did
+// not know that, and took the runner for gone once it had lost the store as well.
+TEST_CASE_METHOD(LongRunningTaskAfterTakeoverTest,
+                 "LongRunningTask_FormerOwnerHasSeenLaterIncarnation_WaitsForTheLongestLease") {
+  StartTask();
+  EndRunnerOfTask();
+  TakeOver();
+  AdvanceTime(kReactionTime);
+  ++earlier_incarnations_[host_];
+  ListRunners(kRunners, kCapacity);
+  AdvanceTime(kUnlistedAfter);
+  Unlist(host_);
+  AdvanceTime(milliseconds(200));
+  Begin(0, kCapacity);
+  AdvanceTime(CellOptions().max_lease_after_renewal + kReactionTime);
+  CHECK(starts_.size() == 1);
+}
+
+// Guards against TWICE: a runner restarted, was claimed, and then lost its owner and the store. The
+// next owner took it for gone before the lease was over that a poll of the incarnation before had
+// granted there.
+TEST_CASE("RestartedRunner_CutOffFromStoreToo_SuccessorWaitsForItsLongLease") {
+  constexpr std::size_t kRunners = 4;
+  constexpr milliseconds kCut{14'000};
+  CellWorld world;
+  world.Advance(milliseconds(2'000));
+  for (int i = 0; i < 3; ++i) world.Submit(kLongRunningShape, kNoFailure);
+  world.Advance(milliseconds(1'000));
+  const std::size_t host = world.RunnersOf(0).front();
+  world.DelayPolls(12, milliseconds(1'000));
+  world.Advance(milliseconds(1'500));
+  world.RestartRunner(host);
+  world.Advance(milliseconds(200));
+  for (std::size_t runner = 0; runner < kRunners; ++runner) {
+    if (runner != host) world.DrainRunner(runner);
+  }
+  world.Advance(milliseconds(300));
+  world.DelayCommands(1);
+  for (int i = 0; i < 3; ++i) world.Submit(kLongRunningShape, kNoFailure);
+  world.Advance(milliseconds(40));
+  world.CutRunner(host, kCut);
+  for (std::size_t runner = 0; runner < kRunners; ++runner) {
+    if (runner != host) world.RestartRunner(runner);
+  }
+  world.Advance(milliseconds(2'100));
+  world.TakeOver(true);
+  world.Advance(milliseconds(2'400));
+  world.UnlistRunner(host);
+  world.Advance(milliseconds(11'000));
+  CHECK(world.broken().empty());
+}
+
 // Guards against waves and moves that stalled after a takeover: one unresponsive runner prevented
 // the maintenance of all others.
 TEST_CASE_METHOD(UnresponsiveRunnerTest,
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -85,6 +85,8 @@
   /// Starts a new incarnation that discovery lists after `lag`. Until then it keeps the entry of
   /// the earlier one, if it has not expired.
   void RestartRunnerUnlisted(std::size_t which, std::chrono::milliseconds lag);
+  /// Discovery drops the entry of a runner that has lost the store, for a minute.
+  void UnlistRunner(std::size_t which);
   /// Discovery lists all runners that are alive.
   void ListRestarts();
   /// All owners can reach all runners that are alive.
--- a/tests/cells/cell_world_relay.cc
+++ b/tests/cells/cell_world_relay.cc
@@ -251,6 +251,10 @@
   hidden_restarts_[index] = {shown, now_ + lag};
 }
 
+void CellWorld::UnlistRunner(std::size_t which) {
+  hidden_restarts_[which] = {std::nullopt, now_ + std::chrono::minutes(1)};
+}
+
 void CellWorld::ListRestarts() {
   for (HiddenRestart& hidden : hidden_restarts_) hidden = {};
 }
