--- a/tests/cells/cell_availability_test.cc
+++ b/tests/cells/cell_availability_test.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kWideShape = 2;
 constexpr std::size_t kShortShape = 0;
 constexpr std::size_t kOutcomeSeed = 17;
+/// Seeds below 16 make all runs of a job fail.
+constexpr std::size_t kFailingJobs = 6;
 constexpr std::size_t kRunners = 4;
 constexpr std::size_t kHost = 0;
 constexpr std::size_t kIdleRunner = 2;
@@ -213,5 +215,15 @@
   }
 }
 
+// Guards against LOST (issues 22, 54): tasks that always fail make all runners suspect, and wait
+// for the one start that each of these gets in up to 8 s.
+TEST_CASE_METHOD(CellAvailabilityTest,
+                 "LongRunningTask_TasksOfSeveralJobsFailOnAllRunners_RunsAgainInTime") {
+  for (std::size_t seed = 0; seed < kFailingJobs; ++seed) world_.Submit(kLongRunningShape, seed);
+  world_.Advance(milliseconds(30'000));
+  INFO(world_.broken());
+  CHECK(world_.broken().empty());
+}
+
 }  // namespace
 }  // namespace wigeonlane
