--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -117,7 +117,9 @@
   if (strays.empty() && !old_incarnation->listed) return LoseRunner(old_key, reason, time);
   Runner* runner = AddRunner(listing, time.now);
   runner->listed = old_incarnation->listed;
-  runner->is_later = old_incarnation->is_later || HasLaterIncarnation(reason);
+  // Once an incarnation has reported, the starts that were meant for earlier ones are settled.
+  runner->is_later =
+      (old_incarnation->is_later && !old_incarnation->claimed) || HasLaterIncarnation(reason);
   // Commands of a predecessor may have reached the new incarnation as well.
   if (unreconciled_.contains(old_key) && time.now < PredecessorLeaseEnd(*old_incarnation)) {
     unreconciled_.AddNextIncarnation(old_key, runner->key);
