--- a/cells/cell.h
+++ b/cells/cell.h
@@ -309,8 +309,6 @@
     return !task.accounted_for && IsBlocked(entry);
   }
   bool HasStartableTasks(const JobEntry& entry) const;
-  /// From then on no former owner starts tasks.
-  Instant FormerOwnersAuthorityEnd() const { return restored_at_ + options_.authority; }
 
   /// Waiting work of one service that fits on no runner at present.
   struct UnplaceableWork {
@@ -509,6 +507,7 @@
   Instant limits_expire_at_{};            ///< When all leases in the newest record end.
   bool handover_record_present_ = false;  ///< A predecessor's record is still stored.
   Instant restored_at_{};
+  Instant other_owners_authority_end_{};  ///< From then on no other owner starts tasks.
   std::optional<Instant> role_available_at_;
   BatchNumber handover_batch_ = 0;  ///< The batch that replaces the predecessor's record.
   bool deposed_ = false;
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -186,9 +186,6 @@
 void Cell::HandleReportedRun(Runner* runner, const ReportedRun& reported, CellTime time) {
   JobEntry* entry = FindJob(reported.task.job);
   TaskState* task = FindReportedTask(entry, reported.task, time.wall);
-  if (task != nullptr && runner->report_requested_at >= FormerOwnersAuthorityEnd()) {
-    task->accounted_for = true;
-  }
   if (LiveRun* live = FindRun(runner, reported.task, reported.run)) {
     if (live->phase == RunPhase::kUnconfirmed) {
       LogSettledStart(*runner, reported.task, *live, "runs");
@@ -199,6 +196,11 @@
     live->percent = reported.percent;
     RecordSoundRun(runner, live, time.now);
     if (task != nullptr && !reported.checkpoint.empty()) task->checkpoint = reported.checkpoint;
+    // The ends of short tasks must also have been read, since they count as attempts.
+    if (task != nullptr && live->long_running && live->phase == RunPhase::kRunning &&
+        runner->report_requested_at >= other_owners_authority_end_) {
+      task->accounted_for = true;
+    }
     return;
   }
   if (runner->runs.contains(reported.task)) {
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -49,6 +49,7 @@
 
 void Cell::Restore(const std::vector<StoreRecord>& records, CellTime time, const TermWatch& watch) {
   restored_at_ = time.now;
+  other_owners_authority_end_ = time.now + options_.authority;
   no_renewals_since_ = watch.no_renewals_since;
   token_step_ = watch.token_step;
   last_owned_token_ = token_;
@@ -276,6 +277,8 @@
   last_owned_token_ = std::max(last_owned_token_, last_owned_token);
   if (!generation_skipped) return;
   other_owners_leases_end_ = now + options_.max_lease_after_renewal;
+  other_owners_authority_end_ = now + options_.authority;
+  for (auto& [id, entry] : jobs_) entry->job.ForgetWhereTasksRun();
   no_renewals_since_ = no_renewals_since_ == 0 ? 0 : last_owned_token_;
   for (auto& [key, runner] : runners_) runner.untouched_since = 0;
 }
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -409,7 +409,7 @@
   AddRun(runner, id, live);
   runner->health.RecordStart(time.now);
   entry->job.Place(id, runner->key, run);
-  entry->job.FindTask(id)->accounted_for = true;
+  entry->job.FindTask(id)->accounted_for = live.long_running;
   StartCommand command;
   command.runner = runner->key;
   command.task = id;
--- a/jobs/job_progress.cc
+++ b/jobs/job_progress.cc
@@ -114,6 +114,14 @@
   ++FindStep(id.occurrence, id.step)->waiting;
 }
 
+void Job::ForgetWhereTasksRun() {
+  for (Occurrence& occurrence : occurrences_) {
+    for (StepProgress& step : occurrence.steps) {
+      for (TaskState& task : step.tasks) task.accounted_for = false;
+    }
+  }
+}
+
 void Job::MarkDone(const TaskId& id) {
   StepProgress* step = FindStep(id.occurrence, id.step);
   if (step == nullptr || id.index >= step->tasks.size()) return;
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -63,8 +63,8 @@
   Instant freed_at{};        ///< When the last run of this owner's term ended or was given up.
   std::string checkpoint;    ///< Latest saved progress; empty if none.
   Instant earliest_start{};  ///< Delays the restart after consecutive failures.
-  /// No runner out of reach can be running the task: it was reported as running elsewhere when no
-  /// former owner could start it any more, or this owner has started it.
+  /// No runner out of reach can be running the task, which is long-running: it was reported as
+  /// running elsewhere when no other owner could start it any more, or this owner has started it.
   bool accounted_for = false;
   /// Since when a long-running task that may start has found no runner; nothing if it has not
   /// tried.
@@ -152,6 +152,9 @@
   /// Returns whether any task has ever been started.
   bool started() const { return started_; }
 
+  /// No task is accounted for any more; see `TaskState::accounted_for`.
+  void ForgetWhereTasksRun();
+
   /// Returns the number of waiting tasks in steps that are ready.
   std::uint32_t ReadyTasks() const;
 
--- a/tests/cells/cell_takeover_test.cc
+++ b/tests/cells/cell_takeover_test.cc
@@ -287,6 +287,37 @@
   CHECK(world.broken().empty());
 }
 
+// Guards against BUDGET: a failure on a runner out of reach was not read before the task, which had
+// been seen running elsewhere, was started beyond its attempts.
+TEST_CASE_METHOD(LongRunningTaskAfterTakeoverTest,
+                 "ShortTask_ItsFailureOutOfReachIsUnread_IsNotStartedBeyondItsAttempts") {
+  Begin(kRunners, kCapacity);
+  AdvanceTime(kReactionTime);
+  StepSpec step;
+  step.need = kCapacity;
+  QueuePolicy policy;
+  policy.max_attempts = 2;
+  Submit(step, policy);
+  AdvanceTime(kReactionTime);
+  REQUIRE(starts_.size() == 1);
+  const std::string first = IdOf(starts_.front().runner);
+  store_answers_ = false;  // The owner cannot store the first failure, and starts the second run.
+  FailOldest(first);
+  AdvanceTime(milliseconds(1'000));
+  REQUIRE(starts_.size() == 2);
+  const std::string second = IdOf(starts_.back().runner);
+  REQUIRE(second != first);
+  store_answers_ = true;
+  unresponsive_.insert(first);
+  TakeOver();
+  AdvanceTime(CellOptions().authority + CellOptions().poll_wait + kReactionTime);
+  FailOldest(second);
+  AdvanceTime(kReactionTime);
+  unresponsive_.erase(first);
+  AdvanceTime(milliseconds(2'000));
+  CHECK(starts_.size() == 2);
+}
+
 // Guards against waves and moves that stalled after a takeover: one unresponsive runner prevented
 // the maintenance of all others.
 TEST_CASE_METHOD(UnresponsiveRunnerTest,
