--- a/daemon/admin_api.cc
+++ b/daemon/admin_api.cc
@@ -1,23 +1,40 @@
 #include "daemon/admin_api.h"
 
+#include <httplib.h>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/thread_pool.hpp>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
+#include <regex>
 #include <thread>
+#include <vector>
 
 #include "core/digest.h"
 #include "core/document.h"
-#include "core/http_server.h"
+#include "core/http_status.h"
+#include "core/logging.h"
 #include "core/text.h"
 #include "entry/caller_request.h"
 #include "fleet/document.h"
+#include "net/async_http_server.h"
 
 namespace wigeonlane {
 namespace {
 
 constexpr std::size_t kServerThreads = 16;
 constexpr std::chrono::milliseconds kMaxSubmitWait{5'000};
+/// To send a request, between requests, and to read a response.
 constexpr std::chrono::seconds kIdleTimeout{5};
+constexpr std::size_t kMaxConnections = 100;
+/// Matching a path takes stack for each character.
+constexpr std::size_t kMaxTargetBytes = 8 * 1024;
+constexpr int kTargetTooLong = 414;
+constexpr int kInternalError = 500;
+/// Of all unfinished requests and unread responses.
+constexpr std::size_t kMaxBufferedBytes = 16 << 20;
 
 using Json = nlohmann::ordered_json;
 
@@ -84,48 +101,92 @@
   }
 
   absl::Status Start() {
-    if (!server_.Bind(listen_)) {
-      return absl::UnavailableError(Concat("cannot listen on ", listen_.ToString()));
-    }
-    thread_ = std::thread([this] { server_.listen_after_bind(); });
+    if (absl::Status status = server_.Listen(listen_); !status.ok()) return status;
+    thread_ = std::thread([this] { io_.run(); });
     return absl::OkStatus();
   }
 
   void Stop() {
-    server_.stop();
-    if (thread_.joinable()) thread_.join();
+    if (!thread_.joinable()) return;
+    workers_.join();
+    asio::post(io_, [this] { io_.stop(); });  // After the replies that the workers have posted.
+    thread_.join();
   }
 
  private:
   using Handler = void (Impl::*)(const httplib::Request&, httplib::Response*);
 
-  httplib::Server::Handler MakeHandler(Handler handler) {
-    return [this, handler](const httplib::Request& request, httplib::Response& response) {
-      (this->*handler)(request, &response);
-    };
+  struct Route {
+    std::string method;
+    std::regex path;
+    Handler handler;
+  };
+
+  static HttpServerLimits Limits() {
+    HttpServerLimits limits;
+    limits.body_bytes = kMaxDocumentBytes;
+    limits.header_timeout = limits.idle_timeout = kIdleTimeout;
+    limits.max_connections = kMaxConnections;
+    return limits;
+  }
+
+  /// Serves a request on a worker thread, since a record may wait for the log.
+  void Serve(HttpRequest request, HttpReply reply) {
+    asio::post(workers_, [this, request = std::move(request), reply = std::move(reply)] {
+      asio::post(io_, [reply, response = Respond(request)] { reply(response); });
+    });
+  }
+
+  HttpResponse Respond(const HttpRequest& from) {
+    if (from.target.size() > kMaxTargetBytes) return BareResponse(kTargetTooLong);
+    const std::size_t query = std::min(from.target.find('?'), from.target.size());
+    httplib::Request request;
+    request.method = from.method;
+    request.path = httplib::detail::decode_url(from.target.substr(0, query), false);
+    if (query < from.target.size()) {
+      httplib::detail::parse_query_text(from.target.substr(query + 1), request.params);
+    }
+    request.body = from.body;
+    const bool is_head = from.method == "HEAD";
+    for (const Route& route : routes_) {
+      if (route.method != (is_head ? "GET" : from.method)) continue;
+      if (!std::regex_match(request.path, request.matches, route.path)) continue;
+      httplib::Response answer;
+      answer.status = http_status::kOk;
+      try {
+        (this->*route.handler)(request, &answer);
+      } catch (const std::exception& error) {  // Of the JSON library.
+        LogError("admin_request_failed", {{"why", error.what()}});
+        return BareResponse(kInternalError);
+      }
+      HttpResponse response;
+      response.code = answer.status;
+      response.content_type = answer.get_header_value("Content-Type");
+      if (!is_head) response.body = std::move(answer.body);
+      return response;
+    }
+    return BareResponse(http_status::kNotFound);
+  }
+
+  void AddRoute(std::string_view method, const std::string& path, Handler handler) {
+    routes_.push_back({std::string(method), std::regex(path), handler});
   }
 
   void RegisterRoutes() {
-    server_.new_task_queue = [] { return new httplib::ThreadPool(kServerThreads); };
-    server_.set_payload_max_length(kMaxDocumentBytes);
-    server_.set_read_timeout(kIdleTimeout);
-    server_.set_keep_alive_timeout(kIdleTimeout.count());
-    server_.set_tcp_nodelay(true);
-    server_.Get("/healthz", MakeHandler(&Impl::Health));
-    server_.Get("/readyz", MakeHandler(&Impl::Ready));
-    server_.Get("/metrics", MakeHandler(&Impl::Metrics));
-    server_.Get("/v1/admin/status", MakeHandler(&Impl::Status));
-    server_.Get("/v1/admin/digest", MakeHandler(&Impl::StateDigest));
-    server_.Get("/v1/admin/instances", MakeHandler(&Impl::Instances));
-    server_.Get("/v1/admin/pools", MakeHandler(&Impl::Pools));
-    server_.Get("/v1/admin/outcome", MakeHandler(&Impl::Outcome));
-    server_.Get("/v1/admin/order", MakeHandler(&Impl::Order));
-    server_.Get(R"(/v1/admin/documents/([a-z]+))", MakeHandler(&Impl::Documents));
-    server_.Get(R"(/v1/admin/documents/([a-z]+)/([A-Za-z0-9._-]+)/history)",
-                MakeHandler(&Impl::History));
-    server_.Post(R"(/v1/admin/documents/([a-z]+))", MakeHandler(&Impl::Publish));
-    server_.Post(R"(/v1/admin/instances/([A-Za-z0-9._-]+)/drain)", MakeHandler(&Impl::Drain));
-    server_.Post(R"(/v1/admin/instances/([A-Za-z0-9._-]+)/move)", MakeHandler(&Impl::Move));
+    AddRoute("GET", "/healthz", &Impl::Health);
+    AddRoute("GET", "/readyz", &Impl::Ready);
+    AddRoute("GET", "/metrics", &Impl::Metrics);
+    AddRoute("GET", "/v1/admin/status", &Impl::Status);
+    AddRoute("GET", "/v1/admin/digest", &Impl::StateDigest);
+    AddRoute("GET", "/v1/admin/instances", &Impl::Instances);
+    AddRoute("GET", "/v1/admin/pools", &Impl::Pools);
+    AddRoute("GET", "/v1/admin/outcome", &Impl::Outcome);
+    AddRoute("GET", "/v1/admin/order", &Impl::Order);
+    AddRoute("GET", R"(/v1/admin/documents/([a-z]+))", &Impl::Documents);
+    AddRoute("GET", R"(/v1/admin/documents/([a-z]+)/([A-Za-z0-9._-]+)/history)", &Impl::History);
+    AddRoute("POST", R"(/v1/admin/documents/([a-z]+))", &Impl::Publish);
+    AddRoute("POST", R"(/v1/admin/instances/([A-Za-z0-9._-]+)/drain)", &Impl::Drain);
+    AddRoute("POST", R"(/v1/admin/instances/([A-Za-z0-9._-]+)/move)", &Impl::Move);
   }
 
   void Health(const httplib::Request& /*request*/, httplib::Response* response) {
@@ -289,8 +350,14 @@
 
   const Endpoint listen_;
   const Sources sources_;
-  HttpServer server_;
+  std::vector<Route> routes_;
+  asio::io_context io_{1};
+  AsyncHttpServer server_{
+      &io_,
+      [this](HttpRequest request, HttpReply reply) { Serve(std::move(request), std::move(reply)); },
+      Limits, std::make_shared<ByteBudget>(kMaxBufferedBytes)};
   std::thread thread_;
+  asio::thread_pool workers_{kServerThreads};
 };
 
 AdminApi::AdminApi(Endpoint listen, Sources sources)
