--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -130,7 +130,7 @@
                 !draining_ && routes_.version() > 0 && assignment_keeper_.known() && keys_accepted;
             reply(BareResponse(ready ? http_status::kOk : http_status::kUnavailable));
           },
-          [] { return HttpServerLimits(); }),
+          [] { return HttpServerLimits(); }, request_budget_),
       metrics_server_(
           &io_,
           [this](const HttpRequest&, const HttpReply& reply) {
@@ -140,7 +140,7 @@
             response.content_type = "text/plain";
             reply(std::move(response));
           },
-          [] { return HttpServerLimits(); }),
+          [] { return HttpServerLimits(); }, request_budget_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       shutdown_timer_(io_),
       cell_assignment_timer_(io_) {
