--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::string_view kGroup = "wigeonlane";
+/// At the readiness port and at the metrics port.
+constexpr std::size_t kMaxProbeConnections = 100;
 constexpr std::string_view kConfigKey = "config";
 constexpr std::string_view kWavePrefix = "wave/";
 /// Time after sending a membership renewal in which commands to machines may be sent: six times the
@@ -61,6 +63,12 @@
   return options;
 }
 
+HttpServerLimits ProbeLimits() {
+  HttpServerLimits limits;
+  limits.max_connections = kMaxProbeConnections;
+  return limits;
+}
+
 }  // namespace
 
 JobInstance::JobInstance(PlatformSettings settings)
@@ -114,7 +122,7 @@
           [this](const std::string& bytes, FrameServer::Reply reply) {
             router_.ServeFrame(bytes, std::move(reply));
           },
-          request_budget_),
+          request_budget_, settings_.max_peer_connections),
       caller_server_(
           &io_,
           [this](const HttpRequest& request, HttpReply reply) {
@@ -130,7 +138,7 @@
                 !draining_ && routes_.version() > 0 && assignment_keeper_.known() && keys_accepted;
             reply(BareResponse(ready ? http_status::kOk : http_status::kUnavailable));
           },
-          [] { return HttpServerLimits(); }, request_budget_),
+          ProbeLimits, request_budget_),
       metrics_server_(
           &io_,
           [this](const HttpRequest&, const HttpReply& reply) {
@@ -140,7 +148,7 @@
             response.content_type = "text/plain";
             reply(std::move(response));
           },
-          [] { return HttpServerLimits(); }, request_budget_),
+          ProbeLimits, request_budget_),
       signals_(io_, SIGTERM, SIGINT, SIGHUP),
       shutdown_timer_(io_),
       cell_assignment_timer_(io_) {
--- a/net/frame_link.cc
+++ b/net/frame_link.cc
@@ -35,9 +35,6 @@
 constexpr std::size_t kFramePartBytes = 64 * 1024;
 /// Responses that wait on one connection. A peer that reads none is disconnected.
 constexpr std::size_t kMaxWaitingBytes = 8 * 1024 * 1024;
-/// Connections to a server, one from each other instance. For a further one, the connection is
-/// closed on which no frame has arrived for longest.
-constexpr std::size_t kMaxPeerConnections = 1'000;
 /// Bounds how long a connection stays open when the peer does not acknowledge sent bytes.
 constexpr std::chrono::milliseconds kUserTimeout{2'000};
 
@@ -308,6 +305,7 @@
   asio::io_context* io = nullptr;
   Handler handler;
   std::shared_ptr<ByteBudget> budget;
+  std::size_t max_connections = 0;
   std::map<std::uint64_t, std::weak_ptr<FrameStream>> streams;
   std::uint64_t last_stream = 0;
 };
@@ -330,7 +328,7 @@
 /// Serves one connection from another instance. The pending read keeps the stream alive.
 template <typename Shared>
 void ServeConnection(tcp::socket socket, const std::shared_ptr<Shared>& shared) {
-  if (shared->streams.size() >= kMaxPeerConnections) EndLongestIdle(shared->streams);
+  if (shared->streams.size() >= shared->max_connections) EndLongestIdle(shared->streams);
   const std::uint64_t number = ++shared->last_stream;
   const auto self = std::make_shared<std::weak_ptr<FrameStream>>();
   const auto stream = std::make_shared<FrameStream>(
@@ -352,11 +350,13 @@
 
 }  // namespace
 
-FrameServer::FrameServer(asio::io_context* io, Handler handler, std::shared_ptr<ByteBudget> budget)
+FrameServer::FrameServer(asio::io_context* io, Handler handler, std::shared_ptr<ByteBudget> budget,
+                         std::size_t max_connections)
     : shared_(std::make_shared<Shared>()) {
   shared_->io = io;
   shared_->handler = std::move(handler);
   shared_->budget = std::move(budget);
+  shared_->max_connections = max_connections;
 }
 
 FrameServer::~FrameServer() {
--- a/net/frame_link.h
+++ b/net/frame_link.h
@@ -55,8 +55,13 @@
   using Reply = std::function<void(std::string)>;
   using Handler = std::function<void(std::string bytes, Reply)>;
 
+  /// Connections to a server, one from each other instance.
+  static constexpr std::size_t kMaxConnections = 1'000;
+
   /// `budget` limits the bytes that connections hold, together with the budget's other holders.
-  FrameServer(asio::io_context* io, Handler handler, std::shared_ptr<ByteBudget> budget = nullptr);
+  /// Beyond `max_connections`, the connection is closed on which no frame has arrived for longest.
+  FrameServer(asio::io_context* io, Handler handler, std::shared_ptr<ByteBudget> budget = nullptr,
+              std::size_t max_connections = kMaxConnections);
   ~FrameServer();
   FrameServer(const FrameServer&) = delete;
   FrameServer& operator=(const FrameServer&) = delete;
