--- a/entry/caller_session.cc
+++ b/entry/caller_session.cc
@@ -61,6 +61,13 @@
   return response;
 }
 
+/// Returns whether `bytes` hold a whole head, or begin in a way that no head does.
+bool MayParseHead(std::string_view bytes) {
+  return bytes.starts_with('\r') || bytes.starts_with('\n') ||
+         bytes.find("\n\r\n") != std::string_view::npos ||
+         bytes.find("\n\n") != std::string_view::npos;
+}
+
 /// One caller's connection: reads a request, waits for its response, writes it, and repeats.
 class Session : public std::enable_shared_from_this<Session> {
  public:
@@ -147,6 +154,12 @@
   }
 
   void ParseReceived() {
+    // An unfinished head stays as it was received: its parsed fields would take many times the
+    // memory.
+    if (!header_checked_ && !MayParseHead(unparsed_)) {
+      if (unparsed_.size() >= kMaxHeaderBytes) return Reject(431, "the header is too large");
+      return Read();
+    }
     boost::system::error_code error;
     while (!unparsed_.empty() && !parser_->is_done()) {
       parser_->eager(header_checked_);
