--- a/core/http_client.cc
+++ b/core/http_client.cc
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include "core/head_limited_client.h"
 #include "core/text.h"
 
 namespace wigeonlane {
@@ -18,7 +19,7 @@
     client.set_tcp_nodelay(true);
   }
 
-  httplib::Client client;
+  HeadLimitedClient client;
 };
 
 HttpClient::HttpClient(Endpoint server, std::chrono::milliseconds timeout)
@@ -39,12 +40,12 @@
 }
 
 HttpExchange HttpClient::Fetch(const std::string& path) {
-  return Exchange([&](httplib::Client& client) { return client.Get(path); });
+  return Exchange([&](HeadLimitedClient& client) { return client.Get(path); });
 }
 
 HttpExchange HttpClient::Post(const std::string& path, const std::string& json) {
   return Exchange(
-      [&](httplib::Client& client) { return client.Post(path, json, "application/json"); });
+      [&](HeadLimitedClient& client) { return client.Post(path, json, "application/json"); });
 }
 
 void HttpClient::Cancel() { connection_->client.stop(); }
--- a/entry/runner_client.cc
+++ b/entry/runner_client.cc
@@ -8,6 +8,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "core/digest.h"
+#include "core/head_limited_client.h"
 #include "core/text.h"
 
 namespace wigeonlane {
@@ -75,7 +76,7 @@
   return response;
 }
 
-bool HasUnreadBytes(httplib::Client* client) {
+bool HasUnreadBytes(HeadLimitedClient* client) {
   pollfd descriptor{client->socket(), POLLIN, 0};
   return poll(&descriptor, 1, 0) != 0;
 }
@@ -90,7 +91,7 @@
     client.set_follow_location(false);
   }
 
-  httplib::Client client;
+  HeadLimitedClient client;
   Instant idle_since{};
 };
 
@@ -117,7 +118,7 @@
   /// Enforces the deadline of one call during the guard's lifetime.
   class Guard {
    public:
-    Guard(DeadlineEnforcer* enforcer, Instant deadline, httplib::Client* client)
+    Guard(DeadlineEnforcer* enforcer, Instant deadline, HeadLimitedClient* client)
         : deadline_enforcer_(*enforcer) {
       const std::lock_guard lock(deadline_enforcer_.mutex_);
       key_ = {deadline, ++deadline_enforcer_.last_id_};
@@ -152,7 +153,7 @@
 
   std::mutex mutex_;
   std::condition_variable wake_;
-  std::map<std::pair<Instant, std::uint64_t>, httplib::Client*> calls_;
+  std::map<std::pair<Instant, std::uint64_t>, HeadLimitedClient*> calls_;
   std::uint64_t last_id_ = 0;
   bool stopping_ = false;
   std::thread thread_;
@@ -177,7 +178,7 @@
   }
   std::unique_ptr<Connection> connection = TakeIdleConnection(runner);
   if (connection == nullptr) connection = std::make_unique<Connection>(runner);
-  httplib::Client& client = connection->client;
+  HeadLimitedClient& client = connection->client;
   const auto connect_timeout = std::min(remaining, kMaxConnectTime);
   client.set_connection_timeout(connect_timeout.count() / 1000,
                                 (connect_timeout.count() % 1000) * 1000);
