--- a/cells/cell.h
+++ b/cells/cell.h
@@ -39,6 +39,7 @@
 #include "scheduling/estimate_model.h"
 #include "scheduling/job_ranking.h"
 #include "scheduling/placement.h"
+#include "scheduling/preemption.h"
 #include "scheduling/rejected_sizes.h"
 #include "scheduling/step_admission.h"
 #include "scheduling/team_rate.h"
@@ -472,6 +473,10 @@
   std::string DescribeObstacles(const JobEntry& entry, const TaskId& id, Instant now) const;
   Instant WaitingSince(const JobEntry& entry, const TaskState& task) const;
 
+  std::vector<PreemptionCandidate> PreemptableRuns(const Runner& runner, std::uint32_t priority,
+                                                   Instant now);
+  void PreemptFor(const JobEntry& entry, const TaskId& id, Instant now);
+
   std::map<std::string, Resources> LargestCapacities() const;
   static bool OffersCapacity(const Runner& runner, const TaskId& task, Instant now);
   std::uint32_t UnplaceableTasks(const JobEntry& entry, std::uint32_t occurrence,
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -175,6 +175,7 @@
       const bool waits_for_ticket = choice.reason == NoRunnerReason::kNoTicket;
       if (!waits_for_ticket && !capacity_reservations_.contains(id)) {
         EarmarkCapacity(*entry, id, time.now);
+        PreemptFor(*entry, id, time.now);
       }
       continue;
     }
