--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -143,7 +143,7 @@
   int rejected_appends_ = 0;
   bool store_answers_ = true;
   bool renewals_confirmed_ = true;
-  bool listings_confirmed_ = true;  ///< Discovery is read all the time.
+  bool listings_confirmed_ = true;                   ///< Discovery is read all the time.
   std::map<CallNumber, CallResponse> responses_;     ///< To callers, the last one of each call.
   std::map<std::string, std::string> service_of_;    ///< By runner id; `kService` for all others.
   std::map<std::string, std::string> label_of_;      ///< By runner id; no label for all others.
