--- a/tests/platform/runner_directory_test.cc
+++ b/tests/platform/runner_directory_test.cc
@@ -56,9 +56,10 @@
   AsyncHttpServer server_{&io_,
                           [this](const HttpRequest& request, const HttpReply& reply) {
                             if (request.target.starts_with("/log-read")) {
-                              if (!history_dropped_)
-                                return reply({http_status::kOk, kNoChanges, {}});
-                              return reply({http_status::kGone, R"({"FirstOffset":9})", {}});
+                              if (history_dropped_) {
+                                return reply({http_status::kGone, R"({"FirstOffset":9})", {}});
+                              }
+                              return reply({http_status::kOk, kNoChanges, {}});
                             }
                             ++snapshots_;
                             reply({http_status::kOk,
