--- a/cells/cell_teams.cc
+++ b/cells/cell_teams.cc
@@ -173,8 +173,12 @@
     if (entry.team == kNoTeam || !IsBlocked(entry)) continue;
     for (const Occurrence& occurrence : entry.job.occurrences()) {
       for (std::size_t step = 0; step < occurrence.steps.size(); ++step) {
-        const StepSpec& spec = entry.job.spec().steps[step];
-        uses[entry.team] += Multiple(spec.Load(), spec.count - occurrence.steps[step].done);
+        const auto& tasks = occurrence.steps[step].tasks;
+        const auto uncertain = std::count_if(tasks.begin(), tasks.end(), [](const TaskState& task) {
+          return task.phase != TaskPhase::kDone && !task.accounted_for;
+        });
+        uses[entry.team] +=
+            Multiple(entry.job.spec().steps[step].Load(), static_cast<std::uint32_t>(uncertain));
       }
     }
   }
--- a/tests/cells/cell_teams_test.cc
+++ b/tests/cells/cell_teams_test.cc
@@ -270,5 +270,32 @@
   CHECK(StartsOf(red) == 1);
 }
 
+// Guards against LOST: tasks that are known to run in reach were counted again as tasks that may
+// run on a runner out of reach, so the cap of their team left no capacity for one that lost its
+// runner.
+TEST_CASE_METHOD(CellTeamsTest, "Cap_RunnerOutOfReachAfterTakeover_AccountedTasksCountOnce") {
+  constexpr std::size_t kRunners = 4;
+  const std::map<std::string, TeamTerms> teams{{"red", CpuTerms(16'000, 16'000)}};
+  BeginWith(kRunners, teams);
+  StepSpec step = Tasks(2, kCapacity);
+  step.long_running = true;
+  const CallNumber job = SubmitAndWait("red", step);
+  REQUIRE(StartsOf(job) == 2);
+  const std::string host = IdOf(starts_[0].runner);
+  const std::string other_host = IdOf(starts_[1].runner);
+  std::size_t idle = 0;
+  while (RunnerName(idle) == host || RunnerName(idle) == other_host) ++idle;
+  unresponsive_.insert(RunnerName(idle));
+  BeginWith(kRunners, teams);
+  cell_->HandleMachineDown(RunnerName(idle), Time());
+  AdvanceTime(CellOptions().authority + CellOptions().poll_wait);
+  REQUIRE(cell_->unreconciled_runners() > 0);
+  unresponsive_.insert(host);
+  running_[host].clear();
+  cell_->HandleMachineDown(host, Time());
+  AdvanceTime(kReaction);
+  CHECK(StartsOf(job) == 3);
+}
+
 }  // namespace
 }  // namespace wigeonlane
