--- a/review/standin-3/platform3.py
+++ b/review/standin-3/platform3.py
@@ -44,32 +44,33 @@
         self.path.write_text("\n".join(self.lines) + "\n")
 
 
-def free_ports(count):
-    """Returns ports that were free when checked, below the range of outgoing connections."""
+_taken_ports = set()
+
+
+def is_free(port):
+    if port in _taken_ports:
+        return False
+    with socket.socket() as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+def free_ports(count, following=0):
+    """Returns ports that were free when checked, below the range of outgoing connections, each with
+    `following` free ones after it. No port is returned twice."""
     chosen = []
     while len(chosen) < count:
-        port = random.randint(18000, 31999)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, port))
-            except OSError:
-                continue
-        if port not in chosen:
+        port = random.randint(18000, 31900)
+        wanted = range(port, port + following + 1)
+        if all(is_free(each) for each in wanted):
+            _taken_ports.update(wanted)
             chosen.append(port)
     return chosen
 
 
-def free_port_pair():
-    while True:
-        (first,) = free_ports(1)
-        with socket.socket() as sock:
-            try:
-                sock.bind((HOST, first + 1))
-                return first
-            except OSError:
-                continue
-
-
 async def serve_http(port, handler):
     """Serves HTTP/1.1. `handler(method, target, headers, body)` returns (code, body, type) or DROP.
     A connection on which a response is lost returns nothing further."""
@@ -477,7 +478,7 @@
         self.record = record
         self.name = name
         self.front, self.ready, self.control = free_ports(3)
-        internal = free_port_pair()
+        (internal,) = free_ports(1, following=15)
         self.settings = directory / f"{name}.conf"
         self.log = directory / f"{name}.log"
         self.settings.write_text("\n".join([
