--- a/cells/cell.h
+++ b/cells/cell.h
@@ -28,6 +28,7 @@
 #include "cells/cell_types.h"
 #include "cells/commit_queue.h"
 #include "cells/lease_limit_records.h"
+#include "cells/ownership_proof.h"
 #include "cells/quota_ledger.h"
 #include "cells/role_term.h"
 #include "cells/runner.h"
@@ -90,7 +91,12 @@
 
   /// Extends the time until which this instance may decide for the cell: the store confirmed the
   /// ownership by a renewal that was sent `options.authority` before `until`.
-  void ExtendAuthority(Instant until) { authority_until_ = std::max(authority_until_, until); }
+  void ExtendAuthority(Instant until) {
+    authority_until_ = std::max(authority_until_, until);
+    ownership_proof_.Confirm(until - options_.authority);
+  }
+  /// Whether the next confirmed renewal shows that leases are over.
+  bool awaits_confirmation() const { return awaits_confirmation_; }
 
   /// Records that this instance owned the cell in the generation of this token, the newest one
   /// seen.
@@ -368,6 +374,7 @@
   void RestoreHandover(const std::string& value, const TermWatch& watch, CellTime time);
   Instant FormerOwnersStrayLeaseEnd() const;
   Instant PredecessorLeaseEnd(const Runner& runner) const;
+  Instant LeaseEnd(const Runner& runner) const;
   bool IsUnresponsive(const Runner& runner, Instant now) const;
   std::int64_t RemainingLeaseMs(const Runner& runner, Instant now) const;
   TermToken NoLeaseGrantedSince(const Runner& runner) const;
@@ -500,6 +507,8 @@
   const TermToken token_;
   const CellOptions options_;
   Instant authority_until_{};
+  OwnershipProof ownership_proof_;
+  bool awaits_confirmation_ = false;
   bool handing_over_ = false;
   TermToken no_renewals_since_ = 0;  ///< See `TermWatch`.
   TermToken token_step_ = 0;         ///< See `TermWatch`.
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -95,7 +95,9 @@
   void ExtendAuthority(Instant until) {
     if (on_released_) return;
     authority_until_ = std::max(authority_until_, until);
-    if (cell_ != nullptr) cell_->ExtendAuthority(authority_until_);
+    if (cell_ == nullptr) return;
+    cell_->ExtendAuthority(authority_until_);
+    if (cell_->awaits_confirmation()) SchedulePump();
   }
 
   void SetRunners(std::vector<RunnerListing> listings) {
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -262,11 +262,15 @@
          (runner.recorded_unresponsive || now - restored_at_ >= options_.unreconciled_record_delay);
 }
 
+/// When all leases end that this owner and its predecessors granted on the runner.
+Instant Cell::LeaseEnd(const Runner& runner) const {
+  if (!unreconciled_.contains(runner.key)) return runner.lease_end;
+  return std::max(runner.lease_end, PredecessorLeaseEnd(runner));
+}
+
 /// How long leases that were granted on the runner may still last.
 std::int64_t Cell::RemainingLeaseMs(const Runner& runner, Instant now) const {
-  Instant end = runner.lease_end;
-  if (unreconciled_.contains(runner.key)) end = std::max(end, PredecessorLeaseEnd(runner));
-  const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(end - now);
+  const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(LeaseEnd(runner) - now);
   return std::max<std::int64_t>(remaining.count(), 0);
 }
 
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -121,7 +121,8 @@
   runner->is_later =
       (old_incarnation->is_later && !old_incarnation->claimed) || HasLaterIncarnation(reason);
   // Commands of a predecessor may have reached the new incarnation as well.
-  if (unreconciled_.contains(old_key) && time.now < PredecessorLeaseEnd(*old_incarnation)) {
+  if (unreconciled_.contains(old_key) &&
+      !ownership_proof_.IsOver(PredecessorLeaseEnd(*old_incarnation), time.now)) {
     unreconciled_.AddNextIncarnation(old_key, runner->key);
     runner->predecessor_stray_lease_end =
         std::max(old_incarnation->predecessor_stray_lease_end, FormerOwnersStrayLeaseEnd());
@@ -216,7 +217,8 @@
                {"strays", Concat(strays)},
                {"lease_over_ms", runner->lease_end == Instant{}
                                      ? std::string("none")
-                                     : Concat(MillisOf(time.now - runner->lease_end))}});
+                                     : Concat(MillisOf(time.now - runner->lease_end))},
+               {"renewed_ms", MillisSinceRenewal(time.now)}});
   while (!runner->runs.empty()) {
     const auto [task, run] = *runner->runs.begin();
     if (!run.executed_here && !run.start_confirmed_at) {
@@ -313,18 +315,18 @@
 
 void Cell::AdvanceRunners(CellTime time) {
   std::vector<RunnerKey> lost;
+  awaits_confirmation_ = false;
   for (auto& [key, runner] : runners_) {
     if (!runner.claimed) FreeExpiredStrays(&runner, time);
-    const bool lease_over = time.now >= runner.lease_end;
-    // While this owner has no authority, a former owner may own the cell again and grant leases.
-    const bool predecessor_over =
-        !unreconciled_.contains(key) ||
-        (time.now >= PredecessorLeaseEnd(runner) && HasAuthority(time.now));
     const bool unresponsive = runner.failed_polls > 0 || !runner.listed;
     const bool idle = runner.runs.empty() && !unreconciled_.contains(key);
-    if (unresponsive && lease_over && predecessor_over && (!idle || !runner.listed)) {
-      lost.push_back(key);
-      continue;
+    if (unresponsive && (!idle || !runner.listed)) {
+      const Instant lease_end = LeaseEnd(runner);
+      if (ownership_proof_.IsOver(lease_end, time.now)) {
+        lost.push_back(key);
+        continue;
+      }
+      if (lease_end <= time.now) awaits_confirmation_ = true;
     }
     UpdateOpenState(&runner, time.now);
     if (runner.stopping_runs > 0) AdvanceStops(&runner, time);
--- /dev/null
+++ b/cells/ownership_proof.h
@@ -0,0 +1,33 @@
+/// Decides when an owner may conclude from the time that leases are over.
+///
+/// An owner knows how long the leases last that it granted itself. That no other owner has
+/// prolonged them holds only as long as it owned the cell, and it may lose the cell without
+/// noticing: the membership ends while the store is out of reach or the process is suspended, and
+/// the store may reassign a cell at any time. So an inference from time needs a confirmation of
+/// ownership that covers that time. Once there is one, the inference stays valid.
+#ifndef WIGEONLANE_CELLS_OWNERSHIP_PROOF_H_
+#define WIGEONLANE_CELLS_OWNERSHIP_PROOF_H_
+
+#include <algorithm>
+
+#include "core/clock.h"
+
+namespace wigeonlane {
+
+class OwnershipProof {
+ public:
+  /// The store confirmed a renewal that was sent at `sent`. When the response was read does not
+  /// matter: the cell may have been lost since the store decided.
+  void Confirm(Instant sent) { confirmed_until_ = std::max(confirmed_until_, sent); }
+
+  /// Whether leases that were to end at `end` are over. `end` must include all leases of this owner
+  /// and of its predecessors.
+  bool IsOver(Instant end, Instant now) const { return end <= std::min(confirmed_until_, now); }
+
+ private:
+  Instant confirmed_until_{};  ///< When the newest confirmed renewal was sent.
+};
+
+}  // namespace wigeonlane
+
+#endif  // WIGEONLANE_CELLS_OWNERSHIP_PROOF_H_
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -148,15 +148,27 @@
   OnOwner(index, [this, index](Owner* owner) {
     const bool confirmed = index == holder_ && !owner->handing_over;
     if (confirmed && StoreServes(*owner) && owner->cell != nullptr) {
-      owner->cell->ExtendAuthority(now_ + CellOptions().authority);
-      SendListings(owner);
-      owner->cell->ConfirmListings(now_);
-      Pump(index);
+      const bool late = late_renewals_ > 0 && late_renewals_-- > 0;
+      if (!late) {
+        ConfirmRenewal(index, now_);
+      } else {
+        After(renewal_delay_, [this, index, sent = now_] {
+          OnOwner(index, [this, index, sent](Owner*) { ConfirmRenewal(index, sent); });
+        });
+      }
     }
     After(kRenewal, [this, index] { Renew(index); });
   });
 }
 
+void CellWorld::ConfirmRenewal(std::size_t index, Instant sent) {
+  Owner* owner = owners_[index].get();
+  owner->cell->ExtendAuthority(sent + CellOptions().authority);
+  SendListings(owner);
+  owner->cell->ConfirmListings(sent);
+  Pump(index);
+}
+
 void CellWorld::Pump(std::size_t index) {
   Owner* owner = owners_[index].get();
   if (owner->cell == nullptr || owner->cell->deposed()) return;
@@ -235,6 +247,8 @@
 
 bool CellWorld::IsCut(std::size_t owner, const SimRunner& runner) const {
   if (now_ < runner.cut_until) return true;
+  const auto owner_cut = owner_cuts_.find({owner, runner.listing.id});
+  if (owner_cut != owner_cuts_.end() && now_ < owner_cut->second) return true;
   const auto cut = one_sided_cuts_.find(runner.listing.id);
   return cut != one_sided_cuts_.end() && owner >= cut->second.first_owner &&
          now_ < cut->second.until;
@@ -493,6 +507,12 @@
   one_sided_cuts_[runners_[IndexOfPresent(which)].listing.id] = {owners_.size(), now_ + duration};
 }
 
+void CellWorld::CutRunnerFromOwner(std::size_t which, milliseconds duration) {
+  const std::pair cut(owners_.size() - 1, runners_[IndexOfPresent(which)].listing.id);
+  owner_cuts_[cut] = now_ + duration;
+  availability_.Disrupt(now_);
+}
+
 void CellWorld::DrainRunner(std::size_t which) {
   runners_[IndexOfPresent(which)].listing.draining = true;
 }
@@ -517,6 +537,10 @@
   late_appends_ = count;
   append_delay_ = delay;
 }
+void CellWorld::DelayRenewals(std::size_t count, milliseconds delay) {
+  late_renewals_ = count;
+  renewal_delay_ = delay;
+}
 void CellWorld::StoreDown(milliseconds duration) { store_.down_until = now_ + duration; }
 void CellWorld::CutOwnerFromStore(milliseconds duration) {
   owners_.back()->store_cut_until = now_ + duration;
@@ -545,7 +569,7 @@
 
 void CellWorld::EndFaultsAndCheck() {
   delayed_commands_ = delayed_polls_ = lost_append_responses_ = delayed_submissions_ =
-      late_appends_ = lost_responses_ = held_up_polls_ = 0;
+      late_appends_ = late_renewals_ = lost_responses_ = held_up_polls_ = 0;
   for (std::size_t i = 0; i < runners_.size(); ++i) {
     if (gone_.contains(i)) continue;
     runners_[i].listing.draining = false;
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -98,6 +98,8 @@
   void CutRunner(std::size_t which, std::chrono::milliseconds duration);
   /// Owners that start after the present one cannot reach the runner; the present one can.
   void CutRunnerFromSuccessors(std::size_t which, std::chrono::milliseconds duration);
+  /// The present owner cannot reach the runner; its successors can.
+  void CutRunnerFromOwner(std::size_t which, std::chrono::milliseconds duration);
   /// The runner crashes and never restarts. Here and below, a runner that leaves for good keeps its
   /// entry in discovery until that expires, another one with a new id joins in its place, and
   /// nothing happens if few runners are left.
@@ -124,6 +126,8 @@
   void StoreDown(std::chrono::milliseconds duration);
   /// The store refuses the calls of the newest owner, and serves those of its successors.
   void CutOwnerFromStore(std::chrono::milliseconds duration);
+  /// The store decides the next `count` renewals at once, and its responses arrive after `delay`.
+  void DelayRenewals(std::size_t count, std::chrono::milliseconds delay);
 
   /// From now on checks that no long-running task is left without a run. Called once.
   void WatchAvailability();
@@ -239,6 +243,8 @@
   void Restore(std::size_t owner);
   TermWatch WatchOf(std::size_t owner) const;
   void Renew(std::size_t owner);
+  /// An owner reads the confirmation of a renewal that was sent at `sent`.
+  void ConfirmRenewal(std::size_t owner, Instant sent);
   void SendListings(Owner* owner);
   void Pump(std::size_t index);
   void ScheduleNextPump(std::size_t index);
@@ -314,6 +320,8 @@
   SimGangs gangs_;
   bool has_gangs_ = false;                             ///< A job with a gang was submitted.
   std::map<std::string, OneSidedCut> one_sided_cuts_;  ///< By runner id.
+  /// Until when single owners cannot reach single runners, by owner index and runner id.
+  std::map<std::pair<std::size_t, std::string>, Instant> owner_cuts_;
   JobOracle oracle_;
   AvailabilityOracle availability_;
   /// Runners that have left for good, by index, and when discovery removes their entries.
@@ -341,6 +349,8 @@
   std::size_t delayed_polls_ = 0;
   std::chrono::milliseconds poll_delay_{0};
   std::size_t lost_append_responses_ = 0;
+  std::size_t late_renewals_ = 0;
+  std::chrono::milliseconds renewal_delay_{0};
   std::size_t late_appends_ = 0;
   std::chrono::milliseconds append_delay_{0};
   std::size_t delayed_submissions_ = 0;
--- a/tests/cells/cell_world_relay.cc
+++ b/tests/cells/cell_world_relay.cc
@@ -261,6 +261,7 @@
 
 void CellWorld::EndCuts() {
   one_sided_cuts_.clear();
+  owner_cuts_.clear();
   for (std::size_t index = 0; index < runners_.size(); ++index) {
     if (!gone_.contains(index)) runners_[index].cut_until = now_;
   }
