--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -110,7 +110,7 @@
   for (const auto& [task, run] : old_incarnation->runs) {
     if (run.executed_here) continue;
     const Instant end = old_incarnation->LatestStrayEnd(run, options_);
-    if (end <= time.now) continue;
+    if (ownership_proof_.IsOver(end, time.now)) continue;
     strays.emplace_back(task, run);
     strays.back().second.stray_until = end;
   }
@@ -193,7 +193,11 @@
   for (const auto& [task, run] : runner->runs) {
     if (!run.stray_until || run.executed_here) continue;
     const bool is_gone = !runner->listed && !runner->is_later && !run.start_confirmed_at;
-    if (is_gone || *run.stray_until <= time.now) expired.push_back(task);
+    if (is_gone || ownership_proof_.IsOver(*run.stray_until, time.now)) {
+      expired.push_back(task);
+    } else if (*run.stray_until <= time.now) {
+      awaits_confirmation_ = true;
+    }
   }
   for (const TaskId& task : expired) {
     LogSettledStart(*runner, task, runner->runs.at(task), "lease over");
--- a/tests/cells/cell_lease_confirmation_test.cc
+++ b/tests/cells/cell_lease_confirmation_test.cc
@@ -26,6 +26,10 @@
   void StartTask() {
     Begin(kRunners, kCapacity);
     AdvanceTime(milliseconds(300));
+    SubmitTask();
+  }
+
+  void SubmitTask() {
     StepSpec step;
     step.need = kCapacity;
     step.long_running = true;
@@ -79,6 +83,25 @@
   CHECK(StartsOnceConfirmed() == 1);
 }
 
+// The runner restarts before it has reported the run, so the next incarnation may have executed the
+// start. It does not respond to this owner.
+TEST_CASE_METHOD(LeaseConfirmationTest,
+                 "StrayLease_OverWithoutConfirmation_TaskIsNotStartedElsewhere") {
+  Begin(kRunners, kCapacity);
+  AdvanceTime(milliseconds(300));
+  unresponsive_ = {RunnerName(0), RunnerName(1)};
+  SubmitTask();
+  unresponsive_ = {host_};
+  ++earlier_incarnations_[host_];
+  ListRunners(kRunners, kCapacity);
+  AdvanceTime(milliseconds(100));
+  const Runner* runner = cell_->FindRunnerById(host_);
+  REQUIRE(runner->runs.size() == 1);
+  REQUIRE(runner->runs.begin()->second.stray_until);
+  CHECK(StartsWithoutConfirmationAfter(*runner->runs.begin()->second.stray_until) == 0);
+  CHECK(StartsOnceConfirmed() == 1);
+}
+
 /// Order of events: an owner loses the path to the runner of a task, and the cell to a successor,
 /// which reaches that runner and none of those where the task fits.
 class FormerOwnerTest {
