--- a/cells/cell.h
+++ b/cells/cell.h
@@ -513,8 +513,6 @@
   TermToken no_renewals_since_ = 0;  ///< See `TermWatch`.
   TermToken token_step_ = 0;         ///< See `TermWatch`.
   TermToken last_owned_token_ = 0;
-  /// When the leases of owners end whose whole term may have passed unobserved during this term.
-  Instant other_owners_leases_end_{};
   TermToken limits_last_owned_token_ = 0;  ///< `last_owned_token` of the newest record.
   LeaseLimitRecords limits_;
   Instant limits_written_at_{};
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -262,10 +262,12 @@
          (runner.recorded_unresponsive || now - restored_at_ >= options_.unreconciled_record_delay);
 }
 
-/// When all leases end that this owner and its predecessors granted on the runner.
+/// When all leases end that may have been granted on the runner.
 Instant Cell::LeaseEnd(const Runner& runner) const {
-  if (!unreconciled_.contains(runner.key)) return runner.lease_end;
-  return std::max(runner.lease_end, PredecessorLeaseEnd(runner));
+  const bool has_predecessors = unreconciled_.contains(runner.key);
+  return ownership_proof_.LeaseEnd(has_predecessors
+                                       ? std::max(runner.lease_end, PredecessorLeaseEnd(runner))
+                                       : runner.lease_end);
 }
 
 /// How long leases that were granted on the runner may still last.
@@ -280,7 +282,7 @@
   const bool generation_skipped = last_owned_token > last_owned_token_ + token_step_;
   last_owned_token_ = std::max(last_owned_token_, last_owned_token);
   if (!generation_skipped) return;
-  other_owners_leases_end_ = now + options_.max_lease_after_renewal;
+  ownership_proof_.RecordOtherOwners(now + options_.max_lease_after_renewal);
   other_owners_authority_end_ = now + options_.authority;
   for (auto& [id, entry] : jobs_) entry->job.ForgetWhereTasksRun();
   no_renewals_since_ = no_renewals_since_ == 0 ? 0 : last_owned_token_;
@@ -317,11 +319,7 @@
   limits_expire_at_ = now;
   for (const std::string& id : unresponsive) {
     const Runner& runner = runners_.at(key_by_id_.at(id));
-    const auto other_owners =
-        std::chrono::ceil<std::chrono::milliseconds>(other_owners_leases_end_ - now);
-    const std::int64_t remaining =
-        std::max<std::int64_t>(RemainingLeaseMs(runner, now), other_owners.count());
-    const RunnerLimit limit{remaining, true, NoLeaseGrantedSince(runner)};
+    const RunnerLimit limit{RemainingLeaseMs(runner, now), true, NoLeaseGrantedSince(runner)};
     limits_expire_at_ =
         std::max(limits_expire_at_, now + std::chrono::milliseconds(limit.remaining_ms));
     record.limits[id] = limit;
--- a/cells/ownership_proof.h
+++ b/cells/ownership_proof.h
@@ -20,12 +20,25 @@
   /// matter: the cell may have been lost since the store decided.
   void Confirm(Instant sent) { confirmed_until_ = std::max(confirmed_until_, sent); }
 
-  /// Whether leases that were to end at `end` are over. `end` must include all leases of this owner
-  /// and of its predecessors.
-  bool IsOver(Instant end, Instant now) const { return end <= std::min(confirmed_until_, now); }
+  /// Other instances may have owned the cell between two confirmed renewals. Their leases end by
+  /// `end`.
+  void RecordOtherOwners(Instant end) {
+    other_owners_leases_end_ = std::max(other_owners_leases_end_, end);
+  }
+
+  /// Returns when all leases on a runner end, given the end of those that this owner and its
+  /// predecessors granted.
+  Instant LeaseEnd(Instant own_end) const { return std::max(own_end, other_owners_leases_end_); }
+
+  /// Whether all leases on a runner are over, given the end of those that this owner and its
+  /// predecessors granted.
+  bool IsOver(Instant own_end, Instant now) const {
+    return LeaseEnd(own_end) <= std::min(confirmed_until_, now);
+  }
 
  private:
   Instant confirmed_until_{};  ///< When the newest confirmed renewal was sent.
+  Instant other_owners_leases_end_{};
 };
 
 }  // namespace wigeonlane
--- a/tests/cells/cell_lease_confirmation_test.cc
+++ b/tests/cells/cell_lease_confirmation_test.cc
@@ -102,6 +102,43 @@
   CHECK(StartsOnceConfirmed() == 1);
 }
 
+// The store confirms renewals throughout, but the cell had another owner between two of them.
+TEST_CASE_METHOD(LeaseConfirmationTest,
+                 "Lease_OverAfterAnUnnoticedOwner_TaskIsNotStartedElsewhere") {
+  StartTask();
+  unresponsive_.insert(host_);
+  AdvanceTime(milliseconds(100));
+  const Instant end = cell_->FindRunnerById(host_)->lease_end;
+  AdvanceTo(end - kLead);
+  cell_->RecordOwnership(token_ + 2, now_);
+  const Instant other_end = now_ + CellOptions().max_lease_after_renewal;
+  AdvanceTo(other_end - milliseconds(100));
+  CHECK(starts_.size() == 1);
+  AdvanceTo(other_end + kReactionTime);
+  CHECK(starts_.size() == 2);
+}
+
+// The owner hands the cell over while it does not know how long another owner's leases last.
+TEST_CASE_METHOD(LeaseConfirmationTest,
+                 "Handover_AfterAnUnnoticedOwner_SuccessorWaitsForItsLeases") {
+  StartTask();
+  unresponsive_.insert(host_);
+  AdvanceTime(milliseconds(100));
+  AdvanceTo(cell_->FindRunnerById(host_)->lease_end - kLead);
+  cell_->RecordOwnership(token_ + 2, now_);
+  const Instant other_end = now_ + CellOptions().max_lease_after_renewal;
+  cell_->PrepareHandover(milliseconds(0), Time());
+  renewals_confirmed_ = false;
+  AdvanceTime(milliseconds(200));
+  renewals_confirmed_ = true;
+  token_ += 2;
+  Begin(kRunners, kCapacity);
+  AdvanceTo(other_end - milliseconds(100));
+  CHECK(starts_.size() == 1);
+  AdvanceTo(other_end + milliseconds(300) + kReactionTime);
+  CHECK(starts_.size() == 2);
+}
+
 /// Order of events: an owner loses the path to the runner of a task, and the cell to a successor,
 /// which reaches that runner and none of those where the task fits.
 class FormerOwnerTest {
