--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -92,6 +92,7 @@
   const JobEntry& entry = *found->second;
   const auto count = jobs_by_queue_.find({entry.queue, entry.job.policy().service});
   if (--count->second == 0) jobs_by_queue_.erase(count);
+  pending_jobs_.Remove(id);
   jobs_.erase(found);
 }
 
@@ -228,7 +229,7 @@
   const JobEntry& entry = *found->second;
   JobState state = entry.job.state();
   if (IsFinal(state) && !IsFinal(entry.stored_state)) {
-    state = entry.job.started() ? JobState::kRunning : JobState::kQueued;
+    state = entry.job.begin().begun() ? JobState::kRunning : JobState::kQueued;
   }
   CallResponse response{CallVerdict::kShown, state};
   response.stored = entry.accepted;
@@ -242,13 +243,7 @@
     return {CallVerdict::kRefused, JobState::kQueued, 0, kStoreRetryAfter};
   }
   CallResponse response{CallVerdict::kCounted};
-  for (const JobId& id : open_jobs_) {
-    const JobEntry& entry = *jobs_.at(id);
-    if (!entry.accepted || entry.job.started()) continue;
-    const bool counts =
-        entry.queue.known() ? entry.queue == queue : entry.job.policy().name == name;
-    if (counts) ++response.pending;
-  }
+  response.pending = pending_jobs_.CountOf(queue, name);
   return response;
 }
 
@@ -364,6 +359,9 @@
     entry->accepted = true;
     unaccepted_.erase(update.job);
     jobs_to_rank_.insert(update.job);
+    if (!entry->job.begin().begun()) {
+      pending_jobs_.Add(update.job, entry->queue, entry->job.policy().name);
+    }
     ++counters_.accepted;
     RecordArrival(*entry, time.now);
     LogDecision("accept", {{"job", std::string(update.job.text())},
@@ -381,6 +379,7 @@
   entry->stored_state = update.state;
   entry->ended_at = time.now;
   open_jobs_.erase(update.job);
+  pending_jobs_.Remove(update.job);
   timed_jobs_.erase(update.job);
   jobs_to_rank_.insert(update.job);
   final_jobs_.push_back(update.job);
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -29,6 +29,7 @@
 #include "cells/commit_queue.h"
 #include "cells/lease_limit_records.h"
 #include "cells/ownership_proof.h"
+#include "cells/pending_jobs.h"
 #include "cells/quota_ledger.h"
 #include "cells/role_term.h"
 #include "cells/runner.h"
@@ -148,8 +149,8 @@
   void Cancel(CallNumber call, const JobId& id, const QueueAddress& queue,
               const std::optional<QueueService>& present, CellTime time);
   CallResponse Show(const JobId& id, Instant now, const QueueAddress& queue = {}) const;
-  /// Counts the jobs of a queue that have started no task. Jobs of an unknown address are counted
-  /// by the `name` that their queue had.
+  /// Counts the accepted jobs of a queue of which no task has begun. Jobs of an unknown address are
+  /// counted by the `name` that their queue had.
   CallResponse CountPending(const QueueAddress& queue, const std::string& name, Instant now) const;
   /// Whether callers are shown a job with this id.
   bool Holds(const JobId& id, const QueueAddress& queue) const;
@@ -220,6 +221,7 @@
   const Runner* FindRunnerById(const std::string& id) const;
   const CellCounters& counters() const { return counters_; }
   std::size_t job_count() const { return jobs_.size(); }
+  std::size_t pending_job_count() const { return pending_jobs_.size(); }
 
  private:
   /// More runner incarnations than one term of a cell has. It spaces the fence tokens of terms.
@@ -367,7 +369,7 @@
   void RemoveExpiredJobs(CellTime time);
   void RestoreJob(const std::string& key, const std::string& value, CellTime time);
   void RestoreProgress(const std::string& key, const std::string& value);
-  void RestoreFinalJobs(CellTime time);
+  void ClassifyRestoredJobs(CellTime time);
   void RestoreRunnerRecord(const std::string& key, const std::string& value, CellTime time);
   void RestoreRunner(const RunnerListing& listing, CellTime time);
   void RestoreStrayLease(const std::string& key, const std::string& value, CellTime time);
@@ -423,6 +425,8 @@
   void AddRun(Runner* runner, const TaskId& task, LiveRun run);
   void RemoveRun(Runner* runner, const TaskId& task);
   void FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time);
+  void RecordRun(JobEntry* entry, const TaskId& id, RunNumber run, RunEvidence evidence);
+  void StoreBegin(JobEntry* entry);
   void RequestStop(Runner* runner, const TaskId& task, Instant now);
   void StopJob(JobEntry* entry, Instant now);
   bool MayStop(const Runner& runner, const TaskId& id, StopScope scope, Instant now);
@@ -529,6 +533,7 @@
   std::unordered_set<JobId> open_jobs_;                ///< Jobs that are not final.
   std::unordered_set<JobId> timed_jobs_;               ///< Open jobs with due times.
   std::unordered_set<JobId> unaccepted_;               ///< Open jobs that are not stored yet.
+  PendingJobs pending_jobs_;  ///< Accepted jobs that are not final and have not begun.
   std::deque<JobId>
       final_jobs_;  ///< Final jobs, kept for callers for a while, in the order in which they ended.
   CancelledIds cancelled_ids_;
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -111,6 +111,9 @@
                           {"born", Concat(runner->listing.started_at.count())},
                           {"how", std::string(RunResultName(result.result))},
                           {"known", task != nullptr ? "yes" : "no"}});
+  const bool at_work = result.result == RunResult::kDone || result.result == RunResult::kFailed;
+  RecordRun(entry, result.task, result.run,
+            at_work ? RunEvidence::kAtWork : RunEvidence::kExecuted);
   if (task == nullptr) {
     if (live != nullptr) RemoveRun(runner, result.task);
     return;
@@ -139,6 +142,7 @@
   } else {
     ++counters_.runs_ended_otherwise;
   }
+  StoreBegin(entry);
 }
 
 /// Delays the restart of a long-running task that keeps failing soon after its start, longer each
@@ -186,6 +190,8 @@
 void Cell::HandleReportedRun(Runner* runner, const ReportedRun& reported, CellTime time) {
   JobEntry* entry = FindJob(reported.task.job);
   TaskState* task = FindReportedTask(entry, reported.task, time.wall);
+  const RunEvidence evidence = reported.percent > 0 ? RunEvidence::kAtWork : RunEvidence::kExecuted;
+  RecordRun(entry, reported.task, reported.run, evidence);
   if (LiveRun* live = FindRun(runner, reported.task, reported.run)) {
     if (live->phase == RunPhase::kUnconfirmed) {
       LogSettledStart(*runner, reported.task, *live, "runs");
@@ -229,6 +235,7 @@
                {"born", Concat(runner->listing.started_at.count())}});
   if (adopted) {
     entry->job.Place(reported.task, runner->key, reported.run);
+    RecordRun(entry, reported.task, reported.run, evidence);
   } else {
     RequestStop(runner, reported.task, time.now);
   }
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -76,7 +76,7 @@
         record.key.starts_with(kProgressPrefix) && record.key.size() > 1 + JobId::kLength;
     if (record.value && is_slice) RestoreProgress(record.key, *record.value);
   }
-  RestoreFinalJobs(time);
+  ClassifyRestoredJobs(time);
   for (const StoreRecord& record : records) {
     if (record.value && record.key == kHandoverKey) RestoreHandover(*record.value, watch, time);
   }
@@ -143,9 +143,13 @@
   entry->submission_stored = cancelled->submitted;
 }
 
-void Cell::RestoreFinalJobs(CellTime time) {
+void Cell::ClassifyRestoredJobs(CellTime time) {
   for (auto& [id, entry] : jobs_) {
-    if (!IsFinal(entry->job.state())) continue;
+    if (!IsFinal(entry->job.state())) {
+      if (!entry->job.begin().begun())
+        pending_jobs_.Add(id, entry->queue, entry->job.policy().name);
+      continue;
+    }
     entry->stored_state = entry->job.state();
     entry->ended_at = time.now;
     open_jobs_.erase(id);
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -49,8 +49,11 @@
 /// Removes a run that has certainly ended, so that its capacity is free and its task can be placed
 /// again.
 void Cell::FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time) {
+  const auto run = runner->runs.find(id);
+  const bool executed = run != runner->runs.end() && run->second.executed();
   RemoveRun(runner, id);
   JobEntry* entry = FindJob(id.job);
+  if (executed) StoreBegin(entry);
   TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(id);
   if (task == nullptr || task->phase != TaskPhase::kPlaced || task->runner != runner->key) return;
   if (!IsFinal(entry->job.state())) {
@@ -66,6 +69,19 @@
   schedule_requested_ = true;
 }
 
+/// Records what a runner has said of a run.
+void Cell::RecordRun(JobEntry* entry, const TaskId& id, RunNumber run, RunEvidence evidence) {
+  if (entry == nullptr || entry->job.begin().begun()) return;
+  entry->job.RecordRun(id, run, evidence);
+  if (entry->job.begin().begun()) pending_jobs_.Remove(id.job);
+}
+
+/// Stores that a job has begun once a run has ended. Until then the runner tells a successor.
+void Cell::StoreBegin(JobEntry* entry) {
+  if (entry == nullptr || IsFinal(entry->job.state())) return;
+  if (entry->job.begin().unrecorded()) MarkDirty(entry);
+}
+
 void Cell::RequestStop(Runner* runner, const TaskId& task, Instant now) {
   const auto found = runner->runs.find(task);
   if (found == runner->runs.end()) return;
@@ -97,6 +113,10 @@
 }
 
 void Cell::HandleStartResponse(const StartCommand& command, CommandOutcome outcome, CellTime time) {
+  JobEntry* entry = FindJob(command.task.job);
+  if (outcome.status == CommandStatus::kDone) {
+    RecordRun(entry, command.task, command.run, RunEvidence::kExecuted);
+  }
   Runner* runner = FindRunner(command.runner);
   if (runner == nullptr) return HandleStrayStartResponse(command, outcome, time);
   if (outcome.status == CommandStatus::kFenced) return HandleFencedCommand(command.runner);
@@ -119,7 +139,7 @@
     }
     return ReplaceIncarnation(runner, runner->listing, LossReason::kOtherIncarnationResponds, time);
   }
-  if (run == nullptr) return;
+  if (run == nullptr) return StoreBegin(entry);
   switch (outcome.status) {
     case CommandStatus::kDone:
       if (run->phase == RunPhase::kStarting) run->phase = RunPhase::kRunning;
@@ -164,7 +184,8 @@
   const TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(command.task);
   Runner* runner = task == nullptr ? nullptr : FindRunner(task->runner);
   LiveRun* run = runner == nullptr ? nullptr : FindRun(runner, command.task, command.run);
-  if (run == nullptr || run->executed_here) return;
+  if (run == nullptr) return StoreBegin(entry);
+  if (run->executed_here) return;
   switch (outcome.status) {
     case CommandStatus::kNoResponse:
       return RecordUnacknowledgedStart(runner->listing.id, command.task, command.run, time.now);
--- a/cells/cell_teams.cc
+++ b/cells/cell_teams.cc
@@ -266,9 +266,9 @@
 TeamStanding Cell::StandingOf(const JobEntry& entry) const {
   if (entry.beyond_rate) return TeamStanding::kBeyondRate;
   if (entry.team == kNoTeam) return TeamStanding::kWithinShare;
-  // Most of the work of a job that has started would be wasted if it were late.
-  const bool over_share =
-      !entry.job.started() && teams_over_share_.contains({entry.job.policy().service, entry.team});
+  // Most of the work of a job that has begun would be wasted if it were late.
+  const bool over_share = !entry.job.begin().may_have_begun() &&
+                          teams_over_share_.contains({entry.job.policy().service, entry.team});
   return over_share ? TeamStanding::kOverShare : TeamStanding::kWithinShare;
 }
 
--- a/cells/runner.h
+++ b/cells/runner.h
@@ -66,6 +66,9 @@
   EventNumber known_since = 0;
   std::uint32_t percent = 0;  ///< As last reported; a task has started up once it is at 100.
   bool is_sound = false;      ///< A long-running run that its runner's health has counted.
+
+  /// Whether a runner has said that it executed the start.
+  bool executed() const { return executed_here || start_confirmed_at.has_value(); }
 };
 
 /// State of one incarnation of a runner. The cell updates it and makes all decisions.
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -434,7 +434,8 @@
         {"runners_lost", counters.runners_lost},
         {"starts_passed_on", counters.starts_passed_on},
         {"unsettled_runners", host->cell()->unreconciled_runners()},
-        {"jobs", host->cell()->job_count()}};
+        {"jobs", host->cell()->job_count()},
+        {"pending_jobs", host->cell()->pending_job_count()}};
     for (const auto& [team, use] : host->cell()->TeamUses()) {
       const std::string team_label = Concat(label, ",team=\"", team, "\"");
       metrics_.SetGauge("wigeonlane_team_used_cpu_milli", team_label,
--- a/jobs/job_progress.cc
+++ b/jobs/job_progress.cc
@@ -102,8 +102,7 @@
   task->runner = runner;
   task->last_run = std::max(task->last_run, run);
   --FindStep(id.occurrence, id.step)->waiting;
-  started_ = true;
-  if (state_ == JobState::kQueued) state_ = JobState::kRunning;
+  begin_.AddPlacedTask();
 }
 
 void Job::Unplace(const TaskId& id) {
@@ -112,6 +111,26 @@
   task->phase = TaskPhase::kWaiting;
   task->runner = kNoRunner;
   ++FindStep(id.occurrence, id.step)->waiting;
+  begin_.RemovePlacedTask();
+}
+
+void Job::RecordRun(const TaskId& id, RunNumber run, RunEvidence evidence) {
+  if (begin_.begun() || id.step >= spec_.steps.size()) return;
+  if (!spec_.steps[id.step].gang || evidence == RunEvidence::kAtWork) return MarkBegun();
+  TaskState* task = FindTask(id);
+  if (task == nullptr) return;
+  task->executed_run = run;
+  const auto& gang = FindStep(id.occurrence, id.step)->tasks;
+  const bool complete = std::all_of(gang.begin(), gang.end(), [&](const TaskState& member) {
+    return member.phase == TaskPhase::kPlaced && member.last_run == run &&
+           member.executed_run == run;
+  });
+  if (complete) MarkBegun();
+}
+
+void Job::MarkBegun() {
+  begin_.MarkBegun();
+  if (state_ == JobState::kQueued) state_ = JobState::kRunning;
 }
 
 void Job::ForgetWhereTasksRun() {
@@ -125,12 +144,14 @@
 void Job::MarkDone(const TaskId& id) {
   StepProgress* step = FindStep(id.occurrence, id.step);
   if (step == nullptr || id.index >= step->tasks.size()) return;
+  MarkBegun();
   const bool whole_gang = spec_.steps[id.step].gang;
   for (std::uint32_t index = 0; index < step->tasks.size(); ++index) {
     TaskState& task = step->tasks[index];
     if ((!whole_gang && index != id.index) || task.phase == TaskPhase::kDone) continue;
     MarkChanged(id.occurrence, id.step, index);
     if (task.phase == TaskPhase::kWaiting) --step->waiting;
+    if (task.phase == TaskPhase::kPlaced) begin_.RemovePlacedTask();
     task.phase = TaskPhase::kDone;
     task.runner = kNoRunner;
     task.checkpoint.clear();
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -15,6 +15,7 @@
 
 #include "absl/status/statusor.h"
 #include "core/clock.h"
+#include "jobs/begin_state.h"
 #include "jobs/job.h"
 #include "jobs/queue_address.h"
 
@@ -59,8 +60,10 @@
   RunNumber last_run = 0;           ///< Highest run number known to have been used.
   RunnerKey runner = kNoRunner;     ///< The runner on which it is placed.
   RunnerKey failed_on = kNoRunner;  ///< The runner of the last failure.
-  Instant failed_at{};       ///< Time of the last failure; the runner is avoided for a while.
-  Instant freed_at{};        ///< When the last run of this owner's term ended or was given up.
+  Instant failed_at{};  ///< Time of the last failure; the runner is avoided for a while.
+  Instant freed_at{};   ///< When the last run of this owner's term ended or was given up.
+  /// Last run whose start a runner has executed. Kept for gangs of jobs that have not begun.
+  RunNumber executed_run = 0;
   std::string checkpoint;    ///< Latest saved progress; empty if none.
   Instant earliest_start{};  ///< Delays the restart after consecutive failures.
   /// No runner out of reach can be running the task, which is long-running: it was reported as
@@ -132,12 +135,16 @@
   /// Returns the task; nullptr if the job has no such task yet or its occurrence is complete.
   TaskState* FindTask(const TaskId& id);
 
-  /// Records that run `run` of a waiting task was placed on `runner`.
+  /// Records that the start of run `run` of a waiting task was sent to `runner`, or that the runner
+  /// has it.
   void Place(const TaskId& id, RunnerKey runner, RunNumber run);
 
   /// Returns a placed task to the waiting state, for another run.
   void Unplace(const TaskId& id);
 
+  /// Records what a runner has said of a run.
+  void RecordRun(const TaskId& id, RunNumber run, RunEvidence evidence);
+
   /// Records that a run succeeded. In a gang, this completes all tasks of the step.
   void MarkDone(const TaskId& id);
 
@@ -149,8 +156,8 @@
   JobState state() const { return state_; }
   void Cancel() { state_ = JobState::kCancelled; }
 
-  /// Returns whether any task has ever been started.
-  bool started() const { return started_; }
+  /// Whether any task has begun. The tasks of a gang begin once all of them have been started.
+  const BeginState& begin() const { return begin_; }
 
   /// No task is accounted for any more; see `TaskState::accounted_for`.
   void ForgetWhereTasksRun();
@@ -200,6 +207,7 @@
   /// occurrence.
   template <typename Visit>
   void ForEachTask(SliceId slice, Visit visit) const;
+  void MarkBegun();
   void ResizeOccurrences(std::size_t count);
   std::vector<StepProgress> NewSteps() const;
   StepProgress* FindStep(std::uint32_t occurrence, std::uint32_t step);
@@ -211,7 +219,7 @@
   UnixTime accepted_;
   std::vector<Occurrence> occurrences_;
   JobState state_ = JobState::kQueued;
-  bool started_ = false;
+  BeginState begin_;
   std::vector<std::uint32_t> first_task_of_step_;  ///< Counted from the start of an occurrence.
   std::uint32_t tasks_per_occurrence_ = 0;
   std::set<SliceId> changed_slices_;
--- a/jobs/stored_progress.cc
+++ b/jobs/stored_progress.cc
@@ -56,14 +56,14 @@
 
 struct StoredSummary {
   std::uint8_t state = 0;
-  bool started = false;
+  bool begun = false;  ///< In records of earlier versions: a start was sent.
   std::uint32_t occurrences = 0;
   std::vector<std::uint8_t> complete;     ///< One bit for each occurrence.
   std::optional<StoredSlice> only_slice;  ///< Present if the job has no other slice.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(state, started, occurrences, complete, only_slice);
+    archive(state, begun, occurrences, complete, only_slice);
   }
 };
 
@@ -218,7 +218,7 @@
 std::string Job::EncodeSummary(bool with_checkpoints) const {
   StoredSummary stored;
   stored.state = static_cast<std::uint8_t>(state_);
-  stored.started = started_;
+  stored.begun = begin_.begun();
   stored.occurrences = static_cast<std::uint32_t>(occurrences_.size());
   stored.complete = NoBits(occurrences_.size());
   for (std::size_t number = 0; number < occurrences_.size(); ++number) {
@@ -235,6 +235,7 @@
     return value.size() <= max_bytes ? value : encode_with(false);
   };
   records.push_back({"", encode([&](bool checkpoints) { return EncodeSummary(checkpoints); })});
+  begin_.MarkRecorded();
   for (const SliceId& slice : std::exchange(changed_slices_, {})) {
     const auto digest = slice_digests_.find(slice);
     // The summary says that all tasks of a complete occurrence are done.
@@ -277,7 +278,8 @@
     return Mismatch();
   }
   state_ = static_cast<JobState>(stored->state);
-  started_ = stored->started;
+  if (stored->begun) MarkBegun();
+  begin_.MarkRecorded();
   if (stored->occurrences > occurrences_.size()) ResizeOccurrences(stored->occurrences);
   for (std::size_t number = 0; number < stored->occurrences; ++number) {
     if (!HasBit(stored->complete, number)) continue;
@@ -312,6 +314,8 @@
   const auto step_number = static_cast<std::size_t>(next - first_task_of_step_.begin()) - 1;
   StepProgress& step = occurrences_[occurrence].steps[step_number];
   TaskState& state = step.tasks[task - first_task_of_step_[step_number]];
+  // The summary may be older.
+  if (done || !attempts.failed_runs.empty()) MarkBegun();
   if (!done) {
     state.last_run = attempts.last_run;
     state.failed_runs = attempts.failed_runs;
@@ -331,7 +335,8 @@
     return Mismatch();
   }
   state_ = static_cast<JobState>(stored->state);
-  started_ = stored->started;
+  if (stored->started) MarkBegun();
+  begin_.MarkRecorded();
   ResizeOccurrences(stored->occurrences.size());
   for (std::uint32_t number = 0; number < occurrences_.size(); ++number) {
     const UnslicedOccurrence& from = stored->occurrences[number];
--- a/tests/cells/cell_result_durability_test.cc
+++ b/tests/cells/cell_result_durability_test.cc
@@ -198,6 +198,8 @@
 TEST_CASE_METHOD(CellResultDurabilityTest,
                  "Result_ChangesNothingOnIdleCell_IsAcknowledgedWithoutAppend") {
   StartGang();
+  EndOldest(RunnerName(0), RunResult::kGangBroken);  // Stores that the job has begun.
+  AdvanceTime(milliseconds(60));
   const std::size_t appends = appends_.size();
   EndOldest(RunnerName(1), RunResult::kGangBroken);
   AdvanceTime(milliseconds(60));
--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -162,6 +162,8 @@
   /// Responses to the next starts, which are executed if this says so or says nothing; later ones
   /// are confirmed.
   std::deque<CommandStatus> next_start_statuses_;
+  bool starts_lost_ = false;                ///< Starts without a response do not arrive either.
+  std::uint32_t reported_percent_ = 100;    ///< Of runs that start from now on.
   std::optional<RunnerClock> start_clock_;  ///< In the responses to starts.
   std::vector<AdviceRequest> advice_requests_;
   std::vector<PollRequest> polls_;
@@ -179,8 +181,10 @@
         status = next_start_statuses_.front();
         next_start_statuses_.pop_front();
       }
-      const bool executed = status == CommandStatus::kDone || status == CommandStatus::kNoResponse;
-      if (executed) running_[IdOf(start.runner)].push_back({start.task, start.run, "", 100, 0});
+      const bool received = status == CommandStatus::kDone || status == CommandStatus::kNoResponse;
+      const bool executed = received && !starts_lost_;
+      if (executed)
+        running_[IdOf(start.runner)].push_back({start.task, start.run, "", reported_percent_, 0});
       cell_->HandleStartResponse(start, {status, start_clock_}, Time());
     }
     stops_.insert(stops_.end(), outbox.stops.begin(), outbox.stops.end());
--- a/tests/jobs/job_progress_test.cc
+++ b/tests/jobs/job_progress_test.cc
@@ -99,6 +99,59 @@
   CHECK(successor.MarkFailed(Task(), 1));
 }
 
+// Guards against MIXED (issue 60): a job counted as begun once a start was sent.
+TEST_CASE_METHOD(JobProgressTest, "Begin_StartIsSentAndRefused_JobHasNotBegun") {
+  job_.Place(Task(), 1, 1);
+  CHECK_FALSE(job_.begin().begun());
+  CHECK(job_.begin().may_have_begun());
+  CHECK(job_.state() == JobState::kQueued);
+  job_.Unplace(Task());
+  CHECK_FALSE(job_.begin().may_have_begun());
+}
+
+TEST_CASE_METHOD(JobProgressTest, "Begin_RunnerExecutedTheStart_JobHasBegunWhateverFollows") {
+  job_.Place(Task(), 1, 1);
+  job_.RecordRun(Task(), 1, RunEvidence::kExecuted);
+  job_.Unplace(Task());
+  CHECK(job_.begin().begun());
+  CHECK(job_.state() == JobState::kRunning);
+  CHECK(job_.begin().unrecorded());
+  Store(&job_);
+  CHECK_FALSE(job_.begin().unrecorded());
+  Job successor = MakeJob();
+  Restore(&successor);
+  CHECK(successor.begin().begun());
+  CHECK_FALSE(successor.begin().unrecorded());
+}
+
+TEST_CASE_METHOD(JobProgressTest, "Begin_OnlyARecordOfTasksArrived_JobHasBegun") {
+  Job job = MakeLargeJob();
+  job.MarkDone({job.id(), 0, 0, 0});
+  Store(&job);
+  stored_.erase("");
+  Job successor = MakeLargeJob();
+  Restore(&successor);
+  CHECK(successor.begin().begun());
+}
+
+TEST_CASE_METHOD(JobProgressTest, "Begin_MembersOfAGangInDifferentRuns_JobHasNotBegun") {
+  JobSpec spec;
+  spec.steps.resize(1);
+  spec.steps[0].count = 2;
+  spec.steps[0].gang = true;
+  Job job(job_.id(), spec, QueuePolicy(), UnixTime{});
+  const TaskId other{job.id(), 0, 0, 1};
+  job.Place(Task(), 1, 1);
+  job.RecordRun(Task(), 1, RunEvidence::kExecuted);
+  job.Unplace(Task());
+  job.Place(Task(), 1, 2);
+  job.Place(other, 2, 2);
+  job.RecordRun(other, 2, RunEvidence::kExecuted);
+  CHECK_FALSE(job.begin().begun());
+  job.RecordRun(Task(), 2, RunEvidence::kExecuted);
+  CHECK(job.begin().begun());
+}
+
 // Guards against LOST (review/3): the progress of a job outgrows what the store accepts.
 TEST_CASE_METHOD(JobProgressTest, "Progress_ManyUnfinishedOccurrences_EachRecordStaysSmall") {
   Job job = MakeLargeJob();
