--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -75,6 +75,13 @@
                std::min(kEarlyCommitBytes, options.store_limits.call_bytes), options.store_limits) {
 }
 
+void Cell::ExtendAuthority(Instant until) {
+  authority_until_ = std::max(authority_until_, until);
+  const bool awaited = ownership_proof_.awaits_confirmation();
+  ownership_proof_.Confirm(until - options_.authority);
+  if (awaited && !ownership_proof_.awaits_confirmation()) schedule_requested_ = true;
+}
+
 Cell::JobEntry* Cell::FindJob(const JobId& id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -92,12 +92,10 @@
 
   /// Extends the time until which this instance may decide for the cell: the store confirmed the
   /// ownership by a renewal that was sent `options.authority` before `until`.
-  void ExtendAuthority(Instant until) {
-    authority_until_ = std::max(authority_until_, until);
-    ownership_proof_.Confirm(until - options_.authority);
-  }
-  /// Whether the next confirmed renewal shows that leases are over.
-  bool awaits_confirmation() const { return awaits_confirmation_; }
+  void ExtendAuthority(Instant until);
+
+  /// Whether tasks wait for the confirmation of a renewal that is sent from now on.
+  bool awaits_confirmation() const { return ownership_proof_.awaits_confirmation(); }
 
   /// Records that this instance owned the cell in the generation of this token, the newest one
   /// seen.
@@ -317,6 +315,11 @@
   bool MayRunOutOfReach(const JobEntry& entry, const TaskState& task) const {
     return !task.accounted_for && IsBlocked(entry);
   }
+  /// Whether a successor may have read a result of a run that counts as lost here.
+  bool MayHaveUnknownResult(const TaskState& task, Instant now) const {
+    return task.lost_at && !ownership_proof_.IsOver(*task.lost_at, now);
+  }
+  bool MayStart(const JobEntry& entry, const TaskState& task, Instant now);
   bool HasStartableTasks(const JobEntry& entry) const;
 
   /// Waiting work of one service that fits on no runner at present.
@@ -424,7 +427,9 @@
   LiveRun* FindRun(Runner* runner, const TaskId& task, RunNumber run);
   void AddRun(Runner* runner, const TaskId& task, LiveRun run);
   void RemoveRun(Runner* runner, const TaskId& task);
-  void FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time);
+  bool FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time);
+  void FreeLostTask(Runner* runner, const TaskId& id, Instant ended_by, std::string_view reason,
+                    CellTime time);
   void RecordRun(JobEntry* entry, const TaskId& id, RunNumber run, RunEvidence evidence);
   void StoreBegin(JobEntry* entry);
   void RequestStop(Runner* runner, const TaskId& task, Instant now);
@@ -512,7 +517,6 @@
   const CellOptions options_;
   Instant authority_until_{};
   OwnershipProof ownership_proof_;
-  bool awaits_confirmation_ = false;
   bool handing_over_ = false;
   TermToken no_renewals_since_ = 0;  ///< See `TermWatch`.
   TermToken token_step_ = 0;         ///< See `TermWatch`.
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -82,6 +82,11 @@
   /// Called when tasks wait because of the limit of their team. Must be set before `Start`.
   void SetLimitedHook(std::function<void()> on_limited) { on_limited_ = std::move(on_limited); }
 
+  /// Called when tasks wait for a renewal that is sent from now on. Must be set before `Start`.
+  void SetRenewalHook(std::function<void()> on_renewal_wanted) {
+    on_renewal_wanted_ = std::move(on_renewal_wanted);
+  }
+
   /// Must be called before `Start`.
   void SetTermWatch(TermWatch watch) { term_watch_ = std::move(watch); }
 
@@ -96,8 +101,9 @@
     if (on_released_) return;
     authority_until_ = std::max(authority_until_, until);
     if (cell_ == nullptr) return;
+    const bool awaited = cell_->awaits_confirmation();
     cell_->ExtendAuthority(authority_until_);
-    if (cell_->awaits_confirmation()) SchedulePump();
+    if (awaited) SchedulePump();
   }
 
   void SetRunners(std::vector<RunnerListing> listings) {
@@ -282,6 +288,7 @@
     for (const AdviceRequest& request : outbox.advice_requests) Send(request);
     if (cell_->deposed()) return EndTerm();
     if (cell_->limited_by_teams()) on_limited_();
+    if (cell_->awaits_confirmation() && !on_released_) on_renewal_wanted_();
     if (on_released_ && cell_->flushed() && calls_.empty()) return FinishRelease();
     ScheduleNextPump();
   }
@@ -440,6 +447,7 @@
   Instant listed_as_of_{};
   std::optional<std::map<std::string, TeamTerms>> teams_;
   std::function<void()> on_limited_ = [] {};
+  std::function<void()> on_renewal_wanted_ = [] {};
   const RouteTable* routes_ = nullptr;
   Instant authority_until_{};
   TermWatch term_watch_;
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -263,7 +263,9 @@
         run.phase == RunPhase::kRunning || (run.phase == RunPhase::kStopping && run.stop_confirmed);
     if (resolved) vanished.push_back(task);
   }
-  for (const TaskId& task : vanished) FreeTask(runner, task, "no longer reported", time);
+  for (const TaskId& task : vanished) {
+    FreeLostTask(runner, task, time.now, "no longer reported", time);
+  }
   for (const TaskId& task : refused) {
     const LiveRun run = runner->runs.at(task);
     if (const auto earlier = running.find(task); earlier != running.end()) {
@@ -274,7 +276,7 @@
       RecordUnacknowledgedStart(runner->listing.id, task, run.run, run.start_sent_at);
     }
     LogSettledStart(*runner, task, run, "not executed");
-    FreeTask(runner, task, "not executed by the next incarnation", time);
+    FreeLostTask(runner, task, time.now, "not executed by the next incarnation", time);
   }
 }
 
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -189,19 +189,19 @@
 /// counts as gone (the platform's rule), unless a later incarnation has been seen or the response
 /// to the start suggests one.
 void Cell::FreeExpiredStrays(Runner* runner, CellTime time) {
-  std::vector<TaskId> expired;
+  std::vector<std::pair<TaskId, Instant>> ended;
   for (const auto& [task, run] : runner->runs) {
     if (!run.stray_until || run.executed_here) continue;
     const bool is_gone = !runner->listed && !runner->is_later && !run.start_confirmed_at;
     if (is_gone || ownership_proof_.IsOver(*run.stray_until, time.now)) {
-      expired.push_back(task);
-    } else if (*run.stray_until <= time.now) {
-      awaits_confirmation_ = true;
+      ended.emplace_back(task, std::min(*run.stray_until, time.now));
+    } else {
+      ownership_proof_.Await(*run.stray_until, time.now);
     }
   }
-  for (const TaskId& task : expired) {
+  for (const auto& [task, ended_by] : ended) {
     LogSettledStart(*runner, task, runner->runs.at(task), "lease over");
-    FreeTask(runner, task, "lease over on any incarnation", time);
+    FreeLostTask(runner, task, ended_by, "lease over on any incarnation", time);
   }
 }
 
@@ -223,12 +223,13 @@
                                      ? std::string("none")
                                      : Concat(MillisOf(time.now - runner->lease_end))},
                {"renewed_ms", MillisSinceRenewal(time.now)}});
+  const Instant ended_by = reason == LossReason::kUnresponsive ? LeaseEnd(*runner) : time.now;
   while (!runner->runs.empty()) {
     const auto [task, run] = *runner->runs.begin();
     if (!run.executed_here && !run.start_confirmed_at) {
       RecordUnacknowledgedStart(runner->listing.id, task, run.run, run.start_sent_at);
     }
-    FreeTask(runner, task, LossReasonName(reason), time);
+    FreeLostTask(runner, task, ended_by, LossReasonName(reason), time);
   }
   RecordStrayLease(*runner, time.now);
   const auto by_id = key_by_id_.find(runner->listing.id);
@@ -319,7 +320,6 @@
 
 void Cell::AdvanceRunners(CellTime time) {
   std::vector<RunnerKey> lost;
-  awaits_confirmation_ = false;
   for (auto& [key, runner] : runners_) {
     if (!runner.claimed) FreeExpiredStrays(&runner, time);
     const bool unresponsive = runner.failed_polls > 0 || !runner.listed;
@@ -330,7 +330,7 @@
         lost.push_back(key);
         continue;
       }
-      if (lease_end <= time.now) awaits_confirmation_ = true;
+      ownership_proof_.Await(lease_end, time.now);
     }
     UpdateOpenState(&runner, time.now);
     if (runner.stopping_runs > 0) AdvanceStops(&runner, time);
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -47,15 +47,17 @@
 }
 
 /// Removes a run that has certainly ended, so that its capacity is free and its task can be placed
-/// again.
-void Cell::FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time) {
+/// again. Returns whether its task waits now.
+bool Cell::FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time) {
   const auto run = runner->runs.find(id);
   const bool executed = run != runner->runs.end() && run->second.executed();
   RemoveRun(runner, id);
   JobEntry* entry = FindJob(id.job);
   if (executed) StoreBegin(entry);
   TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(id);
-  if (task == nullptr || task->phase != TaskPhase::kPlaced || task->runner != runner->key) return;
+  if (task == nullptr || task->phase != TaskPhase::kPlaced || task->runner != runner->key) {
+    return false;
+  }
   if (!IsFinal(entry->job.state())) {
     LogDecision("free", {{"job", std::string(id.job.text())},
                          {"task", id.ToString()},
@@ -67,6 +69,16 @@
   task->freed_at = time.now;
   jobs_to_rank_.insert(id.job);
   schedule_requested_ = true;
+  return true;
+}
+
+/// Frees a task whose run had ended by `ended_by` without a result that this owner knows of. A
+/// successor may have read one, so the task starts again only once the ownership is confirmed for
+/// that time.
+void Cell::FreeLostTask(Runner* runner, const TaskId& id, Instant ended_by, std::string_view reason,
+                        CellTime time) {
+  if (!FreeTask(runner, id, reason, time)) return;
+  FindJob(id.job)->job.FindTask(id)->lost_at = ended_by;
 }
 
 /// Records what a runner has said of a run.
@@ -195,7 +207,7 @@
           std::min(*run->stray_until, time.now + 2 * options_.MaxStrayLeaseAfterContact());
       return;
     default:
-      return FreeTask(runner, command.task, CommandStatusName(outcome.status), time);
+      FreeTask(runner, command.task, CommandStatusName(outcome.status), time);
   }
 }
 
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -86,6 +86,15 @@
   return false;
 }
 
+/// Whether a waiting task runs nowhere and no result of it is missing here, as far as an owner can
+/// know.
+bool Cell::MayStart(const JobEntry& entry, const TaskState& task, Instant now) {
+  if (MayRunOutOfReach(entry, task)) return false;
+  if (!MayHaveUnknownResult(task, now)) return true;
+  ownership_proof_.Await(*task.lost_at, now);
+  return false;
+}
+
 void Cell::Schedule(CellTime time) {
   for (const JobId& id : timed_jobs_) {
     if (!FindJob(id)->job.CreateDueOccurrences(time.wall)) continue;
@@ -153,7 +162,7 @@
     if (tasks[index].phase != TaskPhase::kWaiting || time.now < tasks[index].earliest_start) {
       continue;
     }
-    if (MayRunOutOfReach(*entry, tasks[index])) continue;
+    if (!MayStart(*entry, tasks[index], time.now)) continue;
     const TaskId id{entry->job.id(), occurrence, step, index};
     const RunnerChoice choice =
         ChooseRunner(*entry, id, RackOfStep(*entry, occurrence, step), time.now);
@@ -188,10 +197,10 @@
 void Cell::PlaceGang(JobEntry* entry, std::uint32_t occurrence, std::uint32_t step, CellTime time) {
   const StepProgress& progress = entry->job.occurrences()[occurrence].steps[step];
   if (progress.waiting != progress.tasks.size()) return;
-  const bool may_run =
-      std::any_of(progress.tasks.begin(), progress.tasks.end(),
-                  [&](const TaskState& task) { return MayRunOutOfReach(*entry, task); });
-  if (may_run) return;
+  const bool may_start =
+      std::all_of(progress.tasks.begin(), progress.tasks.end(),
+                  [&](const TaskState& task) { return MayStart(*entry, task, time.now); });
+  if (!may_start) return;
   std::vector<std::pair<TaskId, Runner*>> chosen;
   RunNumber last = 0;
   std::string checkpoint;
--- a/cells/ownership.h
+++ b/cells/ownership.h
@@ -77,6 +77,12 @@
     if (!renewing_) Renew();
   }
 
+  /// Renews at once unless a renewal is in progress. While the store is unreachable, renewals are
+  /// frequent anyway.
+  void RenewEarly() {
+    if (!leaving_ && !standby_ && !renewing_ && reachable_) Renew();
+  }
+
   /// Leaves the group. The store assigns its cells to the other members at once.
   void Leave(std::function<void()> done) {
     leaving_ = true;
--- a/cells/ownership_proof.h
+++ b/cells/ownership_proof.h
@@ -36,9 +36,19 @@
     return LeaseEnd(own_end) <= std::min(confirmed_until_, now);
   }
 
+  /// An inference that needs `IsOver` waits for the next confirmation, unless the leases last on.
+  void Await(Instant own_end, Instant now) {
+    const Instant end = LeaseEnd(own_end);
+    if (end <= now) awaited_ = std::max(awaited_, end);
+  }
+
+  /// Whether the confirmation of a renewal that is sent now will end such a wait.
+  bool awaits_confirmation() const { return confirmed_until_ < awaited_; }
+
  private:
   Instant confirmed_until_{};  ///< When the newest confirmed renewal was sent.
   Instant other_owners_leases_end_{};
+  Instant awaited_{};  ///< Until when inferences need a confirmation.
 };
 
 }  // namespace wigeonlane
--- a/daemon/job_instance.cc
+++ b/daemon/job_instance.cc
@@ -285,6 +285,7 @@
   SetHostRunners(cell, host.get());
   host->ConfirmListings(runner_directory_.current_as_of());
   if (routes_.version() > 0) host->SetTeams(quota_keeper_.TermsFor(cell, token));
+  host->SetRenewalHook([this] { ownership_.RenewEarly(); });
   host->SetLimitedHook([this] { quota_keeper_.Update(); });
   return host;
 }
--- a/tests/cells/cell_lease_confirmation_test.cc
+++ b/tests/cells/cell_lease_confirmation_test.cc
@@ -139,6 +139,33 @@
   CHECK(starts_.size() == 2);
 }
 
+// The runner restarts, so its results are lost. The owner may not know those that a successor has
+// read before (TWICE: a start after an end that was taken note of).
+TEST_CASE_METHOD(LeaseConfirmationTest,
+                 "RunnerRestart_WithoutConfirmation_TaskIsNotStartedElsewhere") {
+  StartTask();
+  renewals_confirmed_ = false;
+  AdvanceTime(kLead);
+  ++earlier_incarnations_[host_];
+  running_[host_].clear();
+  ListRunners(kRunners, kCapacity);
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.size() == 1);
+  CHECK(StartsOnceConfirmed() == 1);
+}
+
+// The same for a run that is no longer reported although no result of it was.
+TEST_CASE_METHOD(LeaseConfirmationTest,
+                 "VanishedRun_WithoutConfirmation_TaskIsNotStartedElsewhere") {
+  StartTask();
+  renewals_confirmed_ = false;
+  AdvanceTime(kLead);
+  running_[host_].clear();
+  AdvanceTime(kReactionTime);
+  CHECK(starts_.size() == 1);
+  CHECK(StartsOnceConfirmed() == 1);
+}
+
 /// Order of events: an owner loses the path to the runner of a task, and the cell to a successor,
 /// which reaches that runner and none of those where the task fits.
 class FormerOwnerTest {
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -15,6 +15,7 @@
 constexpr std::int64_t kCores = 8'000;
 constexpr std::int64_t kMemory = 16'000;
 constexpr milliseconds kRenewal{500};
+constexpr milliseconds kEarlyRenewalTime{10};
 constexpr milliseconds kCommandTimeout{600};
 constexpr milliseconds kRecoveryTime{45'000};
 constexpr milliseconds kMinLateDelay{2'000};
@@ -143,24 +144,35 @@
   owner->cell->SetRunners(listings, Time());
 }
 
-/// Renews an owner's authority; confirmed only for the owner that the group assigned the cell to.
+/// Renews an owner's authority periodically.
 void CellWorld::Renew(std::size_t index) {
-  OnOwner(index, [this, index](Owner* owner) {
-    const bool confirmed = index == holder_ && !owner->handing_over;
-    if (confirmed && StoreServes(*owner) && owner->cell != nullptr) {
-      const bool late = late_renewals_ > 0 && late_renewals_-- > 0;
-      if (!late) {
-        ConfirmRenewal(index, now_);
-      } else {
-        After(renewal_delay_, [this, index, sent = now_] {
-          OnOwner(index, [this, index, sent](Owner*) { ConfirmRenewal(index, sent); });
-        });
-      }
-    }
+  OnOwner(index, [this, index](Owner*) {
+    SendRenewal(index);
     After(kRenewal, [this, index] { Renew(index); });
   });
 }
 
+/// A renewal is confirmed only for the owner that the group assigned the cell to.
+void CellWorld::SendRenewal(std::size_t index) {
+  const Owner& owner = *owners_[index];
+  const bool confirmed = index == holder_ && !owner.handing_over;
+  if (!confirmed || !StoreServes(owner) || owner.cell == nullptr) return;
+  if (late_renewals_ == 0) return ConfirmRenewal(index, now_);
+  --late_renewals_;
+  After(renewal_delay_, [this, index, sent = now_] {
+    OnOwner(index, [this, index, sent](Owner*) { ConfirmRenewal(index, sent); });
+  });
+}
+
+/// An owner renews at once when tasks wait for that.
+void CellWorld::RenewEarly(std::size_t index) {
+  Owner& owner = *owners_[index];
+  if (owner.early_renewal_until > now_ || !owner.cell->awaits_confirmation()) return;
+  owner.early_renewal_until = now_ + kEarlyRenewalTime;
+  After(kEarlyRenewalTime,
+        [this, index] { OnOwner(index, [this, index](Owner*) { SendRenewal(index); }); });
+}
+
 void CellWorld::ConfirmRenewal(std::size_t index, Instant sent) {
   Owner* owner = owners_[index].get();
   owner->cell->ExtendAuthority(sent + CellOptions().authority);
@@ -179,6 +191,7 @@
   for (const auto& command : outbox.stops) SendStop(index, command);
   for (const auto& command : outbox.starts) SendStart(index, command);
   for (const auto& request : outbox.polls) SendPoll(index, request);
+  RenewEarly(index);
   ScheduleNextPump(index);
 }
 
--- a/tests/cells/cell_world.h
+++ b/tests/cells/cell_world.h
@@ -165,8 +165,9 @@
     std::optional<std::chrono::milliseconds> observation_delay;  ///< See `SetTermObservationDelay`.
     std::vector<RunnerListing> listed;  ///< The listings that it received last.
     Instant frozen_until{};
-    Instant store_cut_until{};  ///< See `CutOwnerFromStore`.
-    Instant next_wake{};        ///< Time of the pending wake-up; in the past if there is none.
+    Instant store_cut_until{};      ///< See `CutOwnerFromStore`.
+    Instant early_renewal_until{};  ///< An early renewal is on its way until then.
+    Instant next_wake{};            ///< Time of the pending wake-up; in the past if there is none.
     std::map<CallNumber, Submission> submits;
     std::map<CallNumber, JobId> cancels;
   };
@@ -243,6 +244,8 @@
   void Restore(std::size_t owner);
   TermWatch WatchOf(std::size_t owner) const;
   void Renew(std::size_t owner);
+  void SendRenewal(std::size_t owner);
+  void RenewEarly(std::size_t owner);
   /// An owner reads the confirmation of a renewal that was sent at `sent`.
   void ConfirmRenewal(std::size_t owner, Instant sent);
   void SendListings(Owner* owner);
