--- a/tests/cells/scripted_cell.h
+++ b/tests/cells/scripted_cell.h
@@ -183,8 +183,9 @@
       }
       const bool received = status == CommandStatus::kDone || status == CommandStatus::kNoResponse;
       const bool executed = received && !starts_lost_;
-      if (executed)
+      if (executed) {
         running_[IdOf(start.runner)].push_back({start.task, start.run, "", reported_percent_, 0});
+      }
       cell_->HandleStartResponse(start, {status, start_clock_}, Time());
     }
     stops_.insert(stops_.end(), outbox.stops.begin(), outbox.stops.end());
