--- a/cells/cell.h
+++ b/cells/cell.h
@@ -315,8 +315,8 @@
   bool MayRunOutOfReach(const JobEntry& entry, const TaskState& task) const {
     return !task.accounted_for && IsBlocked(entry);
   }
-  /// Whether a successor may have read a result of a run that counts as lost here.
-  bool MayHaveUnknownResult(const TaskState& task, Instant now) const {
+  /// Whether a successor may know more of the last run of a waiting task than this owner.
+  bool NeedsConfirmation(const TaskState& task, Instant now) const {
     return task.lost_at && !ownership_proof_.IsOver(*task.lost_at, now);
   }
   bool MayStart(const JobEntry& entry, const TaskState& task, Instant now);
@@ -427,7 +427,7 @@
   LiveRun* FindRun(Runner* runner, const TaskId& task, RunNumber run);
   void AddRun(Runner* runner, const TaskId& task, LiveRun run);
   void RemoveRun(Runner* runner, const TaskId& task);
-  bool FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time);
+  TaskState* FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time);
   void FreeLostTask(Runner* runner, const TaskId& id, Instant ended_by, std::string_view reason,
                     CellTime time);
   void RecordRun(JobEntry* entry, const TaskId& id, RunNumber run, RunEvidence evidence);
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -201,7 +201,9 @@
   }
   for (const auto& [task, ended_by] : ended) {
     LogSettledStart(*runner, task, runner->runs.at(task), "lease over");
-    FreeLostTask(runner, task, ended_by, "lease over on any incarnation", time);
+    TaskState* freed = FreeTask(runner, task, "lease over on any incarnation", time);
+    // A successor may have reached an incarnation that is missing from an older list.
+    if (freed != nullptr) freed->lost_at = ended_by;
   }
 }
 
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -47,8 +47,9 @@
 }
 
 /// Removes a run that has certainly ended, so that its capacity is free and its task can be placed
-/// again. Returns whether its task waits now.
-bool Cell::FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time) {
+/// again. Returns the task if it waits now, else null.
+TaskState* Cell::FreeTask(Runner* runner, const TaskId& id, std::string_view reason,
+                          CellTime time) {
   const auto run = runner->runs.find(id);
   const bool executed = run != runner->runs.end() && run->second.executed();
   RemoveRun(runner, id);
@@ -56,7 +57,7 @@
   if (executed) StoreBegin(entry);
   TaskState* task = entry == nullptr ? nullptr : entry->job.FindTask(id);
   if (task == nullptr || task->phase != TaskPhase::kPlaced || task->runner != runner->key) {
-    return false;
+    return nullptr;
   }
   if (!IsFinal(entry->job.state())) {
     LogDecision("free", {{"job", std::string(id.job.text())},
@@ -69,16 +70,17 @@
   task->freed_at = time.now;
   jobs_to_rank_.insert(id.job);
   schedule_requested_ = true;
-  return true;
+  return task;
 }
 
 /// Frees a task whose run had ended by `ended_by` without a result that this owner knows of. A
 /// successor may have read one, so the task starts again only once the ownership is confirmed for
-/// that time.
+/// that time. Long-running tasks have no results that prevent another start.
 void Cell::FreeLostTask(Runner* runner, const TaskId& id, Instant ended_by, std::string_view reason,
                         CellTime time) {
-  if (!FreeTask(runner, id, reason, time)) return;
-  FindJob(id.job)->job.FindTask(id)->lost_at = ended_by;
+  TaskState* task = FreeTask(runner, id, reason, time);
+  if (task == nullptr || FindJob(id.job)->job.spec().steps[id.step].long_running) return;
+  task->lost_at = ended_by;
 }
 
 /// Records what a runner has said of a run.
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -90,7 +90,7 @@
 /// a confirmation of the ownership is missing, one is requested.
 bool Cell::MayStart(const JobEntry& entry, const TaskState& task, Instant now) {
   if (MayRunOutOfReach(entry, task)) return false;
-  if (!MayHaveUnknownResult(task, now)) return true;
+  if (!NeedsConfirmation(task, now)) return true;
   ownership_proof_.Await(*task.lost_at, now);
   return false;
 }
--- a/cells/cell_waits.cc
+++ b/cells/cell_waits.cc
@@ -70,7 +70,7 @@
     reason = "runner_list_too_old";
   } else if (MayRunOutOfReach(entry, task)) {
     reason = "may_run_out_of_reach";
-  } else if (MayHaveUnknownResult(task, now)) {
+  } else if (NeedsConfirmation(task, now)) {
     reason = "ownership_unconfirmed";
   } else if (entry.limited_by_team) {
     reason = "limit_of_team";
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -62,7 +62,8 @@
   RunnerKey failed_on = kNoRunner;  ///< The runner of the last failure.
   Instant failed_at{};  ///< Time of the last failure; the runner is avoided for a while.
   Instant freed_at{};   ///< When the last run of this owner's term ended or was given up.
-  /// When the last run had ended, if it ended without a result that this owner knows of.
+  /// By when the last run had ended, if a successor may know more of that: the task starts again
+  /// only once the ownership is confirmed for this time.
   std::optional<Instant> lost_at;
   /// Last run whose start a runner has executed. Kept for gangs of jobs that have not begun.
   RunNumber executed_run = 0;
