--- a/cells/cell.cc
+++ b/cells/cell.cc
@@ -77,9 +77,9 @@
 
 void Cell::ExtendAuthority(Instant until) {
   authority_until_ = std::max(authority_until_, until);
-  const bool awaited = ownership_proof_.awaits_confirmation();
-  ownership_proof_.Confirm(until - options_.authority);
-  if (awaited && !ownership_proof_.awaits_confirmation()) schedule_requested_ = true;
+  const bool awaited = ownership_proof_.awaits_renewal();
+  ownership_proof_.ConfirmRenewal(until - options_.authority);
+  if (awaited && !ownership_proof_.awaits_renewal()) schedule_requested_ = true;
 }
 
 Cell::JobEntry* Cell::FindJob(const JobId& id) {
@@ -299,6 +299,7 @@
 }
 
 void Cell::HandleAppendStored(CellTime time) {
+  if (const auto sent = commits_.in_flight_since()) ownership_proof_.ConfirmAppend(*sent);
   if (commits_.Confirm()) FinishBatch(time);
 }
 
--- a/cells/cell.h
+++ b/cells/cell.h
@@ -95,7 +95,7 @@
   void ExtendAuthority(Instant until);
 
   /// Whether tasks wait for the confirmation of a renewal that is sent from now on.
-  bool awaits_confirmation() const { return ownership_proof_.awaits_confirmation(); }
+  bool awaits_renewal() const { return ownership_proof_.awaits_renewal(); }
 
   /// Records that this instance owned the cell in the generation of this token, the newest one
   /// seen.
@@ -317,7 +317,10 @@
   }
   /// Whether a successor may know more of the last run of a waiting task than this owner.
   bool NeedsConfirmation(const TaskState& task, Instant now) const {
-    return task.lost_at && !ownership_proof_.IsOver(*task.lost_at, now);
+    if (!task.lost_run) return false;
+    const Instant end = task.lost_run->ended_by;
+    return task.lost_run->on_claimed_runner ? !ownership_proof_.IsOverOnClaimed(end, now)
+                                            : !ownership_proof_.IsOver(end, now);
   }
   bool MayStart(const JobEntry& entry, const TaskState& task, Instant now);
   bool HasStartableTasks(const JobEntry& entry) const;
@@ -379,7 +382,8 @@
   void RestoreHandover(const std::string& value, const TermWatch& watch, CellTime time);
   Instant FormerOwnersStrayLeaseEnd() const;
   Instant PredecessorLeaseEnd(const Runner& runner) const;
-  Instant LeaseEnd(const Runner& runner) const;
+  Instant OwnLeaseEnd(const Runner& runner) const;
+  bool HasNoLease(const Runner& runner, Instant now);
   bool IsUnresponsive(const Runner& runner, Instant now) const;
   std::int64_t RemainingLeaseMs(const Runner& runner, Instant now) const;
   TermToken NoLeaseGrantedSince(const Runner& runner) const;
@@ -428,7 +432,7 @@
   void AddRun(Runner* runner, const TaskId& task, LiveRun run);
   void RemoveRun(Runner* runner, const TaskId& task);
   TaskState* FreeTask(Runner* runner, const TaskId& id, std::string_view reason, CellTime time);
-  void FreeLostTask(Runner* runner, const TaskId& id, Instant ended_by, std::string_view reason,
+  void FreeLostTask(Runner* runner, const TaskId& id, const LostRun& lost, std::string_view reason,
                     CellTime time);
   void RecordRun(JobEntry* entry, const TaskId& id, RunNumber run, RunEvidence evidence);
   void StoreBegin(JobEntry* entry);
--- a/cells/cell_host.h
+++ b/cells/cell_host.h
@@ -101,7 +101,7 @@
     if (on_released_) return;
     authority_until_ = std::max(authority_until_, until);
     if (cell_ == nullptr) return;
-    const bool awaited = cell_->awaits_confirmation();
+    const bool awaited = cell_->awaits_renewal();
     cell_->ExtendAuthority(authority_until_);
     if (awaited) SchedulePump();
   }
@@ -288,7 +288,7 @@
     for (const AdviceRequest& request : outbox.advice_requests) Send(request);
     if (cell_->deposed()) return EndTerm();
     if (cell_->limited_by_teams()) on_limited_();
-    if (cell_->awaits_confirmation() && !on_released_) on_renewal_wanted_();
+    if (cell_->awaits_renewal() && !on_released_) on_renewal_wanted_();
     if (on_released_ && cell_->flushed() && calls_.empty()) return FinishRelease();
     ScheduleNextPump();
   }
--- a/cells/cell_reports.cc
+++ b/cells/cell_reports.cc
@@ -264,7 +264,7 @@
     if (resolved) vanished.push_back(task);
   }
   for (const TaskId& task : vanished) {
-    FreeLostTask(runner, task, time.now, "no longer reported", time);
+    FreeLostTask(runner, task, {time.now, true}, "no longer reported", time);
   }
   for (const TaskId& task : refused) {
     const LiveRun run = runner->runs.at(task);
@@ -276,7 +276,7 @@
       RecordUnacknowledgedStart(runner->listing.id, task, run.run, run.start_sent_at);
     }
     LogSettledStart(*runner, task, run, "not executed");
-    FreeLostTask(runner, task, time.now, "not executed by the next incarnation", time);
+    FreeLostTask(runner, task, {time.now, false}, "not executed by the next incarnation", time);
   }
 }
 
--- a/cells/cell_restore.cc
+++ b/cells/cell_restore.cc
@@ -266,17 +266,16 @@
          (runner.recorded_unresponsive || now - restored_at_ >= options_.unreconciled_record_delay);
 }
 
-/// When all leases end that may have been granted on the runner.
-Instant Cell::LeaseEnd(const Runner& runner) const {
-  const bool has_predecessors = unreconciled_.contains(runner.key);
-  return ownership_proof_.LeaseEnd(has_predecessors
-                                       ? std::max(runner.lease_end, PredecessorLeaseEnd(runner))
-                                       : runner.lease_end);
+/// When all leases end that this owner and its predecessors granted on the runner.
+Instant Cell::OwnLeaseEnd(const Runner& runner) const {
+  if (!unreconciled_.contains(runner.key)) return runner.lease_end;
+  return std::max(runner.lease_end, PredecessorLeaseEnd(runner));
 }
 
 /// How long leases that were granted on the runner may still last.
 std::int64_t Cell::RemainingLeaseMs(const Runner& runner, Instant now) const {
-  const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(LeaseEnd(runner) - now);
+  const Instant end = ownership_proof_.LeaseEnd(OwnLeaseEnd(runner));
+  const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(end - now);
   return std::max<std::int64_t>(remaining.count(), 0);
 }
 
--- a/cells/cell_runners.cc
+++ b/cells/cell_runners.cc
@@ -203,7 +203,7 @@
     LogSettledStart(*runner, task, runner->runs.at(task), "lease over");
     TaskState* freed = FreeTask(runner, task, "lease over on any incarnation", time);
     // A successor may have reached an incarnation that is missing from an older list.
-    if (freed != nullptr) freed->lost_at = ended_by;
+    if (freed != nullptr) freed->lost_run = {ended_by, false};
   }
 }
 
@@ -225,13 +225,13 @@
                                      ? std::string("none")
                                      : Concat(MillisOf(time.now - runner->lease_end))},
                {"renewed_ms", MillisSinceRenewal(time.now)}});
-  const Instant ended_by = reason == LossReason::kUnresponsive ? LeaseEnd(*runner) : time.now;
+  const Instant ended_by = reason == LossReason::kUnresponsive ? OwnLeaseEnd(*runner) : time.now;
   while (!runner->runs.empty()) {
     const auto [task, run] = *runner->runs.begin();
     if (!run.executed_here && !run.start_confirmed_at) {
       RecordUnacknowledgedStart(runner->listing.id, task, run.run, run.start_sent_at);
     }
-    FreeLostTask(runner, task, ended_by, LossReasonName(reason), time);
+    FreeLostTask(runner, task, {ended_by, runner->claimed}, LossReasonName(reason), time);
   }
   RecordStrayLease(*runner, time.now);
   const auto by_id = key_by_id_.find(runner->listing.id);
@@ -320,19 +320,26 @@
   }
 }
 
+/// Whether no lease is left on the runner, as far as an owner can know. If only a confirmation of
+/// the ownership is missing, one is requested.
+bool Cell::HasNoLease(const Runner& runner, Instant now) {
+  const Instant end = OwnLeaseEnd(runner);
+  const bool over = runner.claimed ? ownership_proof_.IsOverOnClaimed(end, now)
+                                   : ownership_proof_.IsOver(end, now);
+  if (!over) ownership_proof_.Await(end, now);
+  return over;
+}
+
 void Cell::AdvanceRunners(CellTime time) {
   std::vector<RunnerKey> lost;
   for (auto& [key, runner] : runners_) {
     if (!runner.claimed) FreeExpiredStrays(&runner, time);
     const bool unresponsive = runner.failed_polls > 0 || !runner.listed;
     const bool idle = runner.runs.empty() && !unreconciled_.contains(key);
-    if (unresponsive && (!idle || !runner.listed)) {
-      const Instant lease_end = LeaseEnd(runner);
-      if (ownership_proof_.IsOver(lease_end, time.now)) {
-        lost.push_back(key);
-        continue;
-      }
-      ownership_proof_.Await(lease_end, time.now);
+    const bool idle_is_over = !runner.listed && runner.lease_end <= time.now;
+    if (unresponsive && (idle ? idle_is_over : HasNoLease(runner, time.now))) {
+      lost.push_back(key);
+      continue;
     }
     UpdateOpenState(&runner, time.now);
     if (runner.stopping_runs > 0) AdvanceStops(&runner, time);
--- a/cells/cell_runs.cc
+++ b/cells/cell_runs.cc
@@ -73,14 +73,14 @@
   return task;
 }
 
-/// Frees a task whose run had ended by `ended_by` without a result that this owner knows of. A
-/// successor may have read one, so the task starts again only once the ownership is confirmed for
-/// that time. Long-running tasks have no results that prevent another start.
-void Cell::FreeLostTask(Runner* runner, const TaskId& id, Instant ended_by, std::string_view reason,
-                        CellTime time) {
+/// Frees a task whose run had ended without a result that this owner knows of. A successor may have
+/// read one, so the task starts again only once the ownership is confirmed for that time.
+/// Long-running tasks have no results that prevent another start.
+void Cell::FreeLostTask(Runner* runner, const TaskId& id, const LostRun& lost,
+                        std::string_view reason, CellTime time) {
   TaskState* task = FreeTask(runner, id, reason, time);
   if (task == nullptr || FindJob(id.job)->job.spec().steps[id.step].long_running) return;
-  task->lost_at = ended_by;
+  task->lost_run = lost;
 }
 
 /// Records what a runner has said of a run.
--- a/cells/cell_schedule.cc
+++ b/cells/cell_schedule.cc
@@ -91,7 +91,7 @@
 bool Cell::MayStart(const JobEntry& entry, const TaskState& task, Instant now) {
   if (MayRunOutOfReach(entry, task)) return false;
   if (!NeedsConfirmation(task, now)) return true;
-  ownership_proof_.Await(*task.lost_at, now);
+  ownership_proof_.Await(task.lost_run->ended_by, now);
   return false;
 }
 
--- a/cells/commit_queue.h
+++ b/cells/commit_queue.h
@@ -61,6 +61,9 @@
   /// How long the append in flight has been waiting; zero when there is none.
   Duration StallDuration(Instant now) const;
 
+  /// When the append in flight was sent first; nothing when there is none.
+  std::optional<Instant> in_flight_since() const { return in_flight_since_; }
+
   bool idle() const { return waiting_.empty() && parts_.empty() && !in_flight_since_; }
 
   /// The number of the last batch of which `Next` returned an append.
--- a/cells/ownership_proof.h
+++ b/cells/ownership_proof.h
@@ -4,7 +4,8 @@
 /// prolonged them holds only as long as it owned the cell, and it may lose the cell without
 /// noticing: the membership ends while the store is out of reach or the process is suspended, and
 /// the store may reassign a cell at any time. So an inference from time needs a confirmation of
-/// ownership that covers that time. Once there is one, the inference stays valid.
+/// ownership that covers that time: a renewal or an append that was sent at or after it and has
+/// succeeded. Once there is one, the inference stays valid.
 #ifndef WIGEONLANE_CELLS_OWNERSHIP_PROOF_H_
 #define WIGEONLANE_CELLS_OWNERSHIP_PROOF_H_
 
@@ -18,7 +19,11 @@
  public:
   /// The store confirmed a renewal that was sent at `sent`. When the response was read does not
   /// matter: the cell may have been lost since the store decided.
-  void Confirm(Instant sent) { confirmed_until_ = std::max(confirmed_until_, sent); }
+  void ConfirmRenewal(Instant sent) { renewed_until_ = std::max(renewed_until_, sent); }
+
+  /// The store accepted an append that was sent at `sent`, so until then no owner with a higher
+  /// token had fenced the partition. Each does so before it calls a runner.
+  void ConfirmAppend(Instant sent) { unfenced_until_ = std::max(unfenced_until_, sent); }
 
   /// Other instances may have owned the cell between two confirmed renewals. Their leases end by
   /// `end`.
@@ -33,20 +38,27 @@
   /// Whether all leases on a runner are over, given the end of those that this owner and its
   /// predecessors granted.
   bool IsOver(Instant own_end, Instant now) const {
-    return LeaseEnd(own_end) <= std::min(confirmed_until_, now);
+    return LeaseEnd(own_end) <= std::min(renewed_until_, now);
+  }
+
+  /// The same for a runner that has responded to this owner. It refuses owners with lower tokens,
+  /// so an append shows as well that nobody else has called it.
+  bool IsOverOnClaimed(Instant own_end, Instant now) const {
+    return own_end <= std::min(unfenced_until_, now) || IsOver(own_end, now);
   }
 
-  /// An inference that needs `IsOver` waits for the next confirmation, unless the leases last on.
+  /// An inference that needs `IsOver` waits for a confirmation.
   void Await(Instant own_end, Instant now) {
     const Instant end = LeaseEnd(own_end);
     if (end <= now) awaited_ = std::max(awaited_, end);
   }
 
-  /// Whether the confirmation of a renewal that is sent now will end such a wait.
-  bool awaits_confirmation() const { return confirmed_until_ < awaited_; }
+  /// Whether the confirmation of a renewal that is sent now would end such a wait.
+  bool awaits_renewal() const { return std::max(renewed_until_, unfenced_until_) < awaited_; }
 
  private:
-  Instant confirmed_until_{};  ///< When the newest confirmed renewal was sent.
+  Instant renewed_until_{};   ///< When the newest confirmed renewal was sent.
+  Instant unfenced_until_{};  ///< When the newest append that the store accepted was sent.
   Instant other_owners_leases_end_{};
   Instant awaited_{};  ///< Until when inferences need a confirmation.
 };
--- a/jobs/job_progress.cc
+++ b/jobs/job_progress.cc
@@ -99,7 +99,7 @@
   if (task == nullptr || task->phase != TaskPhase::kWaiting) return;
   task->phase = TaskPhase::kPlaced;
   task->no_runner_since.reset();
-  task->lost_at.reset();
+  task->lost_run.reset();
   task->runner = runner;
   task->last_run = std::max(task->last_run, run);
   --FindStep(id.occurrence, id.step)->waiting;
--- a/jobs/job_progress.h
+++ b/jobs/job_progress.h
@@ -54,6 +54,12 @@
 struct StoredAttempts;
 struct StoredSlice;
 
+/// A run that has ended without a result that its owner knows of.
+struct LostRun {
+  Instant ended_by{};
+  bool on_claimed_runner = false;  ///< The runner refused earlier owners by then.
+};
+
 /// State of one task. While it is placed, `runner` and `last_run` identify its only live run.
 struct TaskState {
   TaskPhase phase = TaskPhase::kWaiting;
@@ -62,9 +68,9 @@
   RunnerKey failed_on = kNoRunner;  ///< The runner of the last failure.
   Instant failed_at{};  ///< Time of the last failure; the runner is avoided for a while.
   Instant freed_at{};   ///< When the last run of this owner's term ended or was given up.
-  /// By when the last run had ended, if a successor may know more of that: the task starts again
-  /// only once the ownership is confirmed for this time.
-  std::optional<Instant> lost_at;
+  /// Set if a successor may know more of the last run: the task starts again only once the
+  /// ownership is confirmed for its end.
+  std::optional<LostRun> lost_run;
   /// Last run whose start a runner has executed. Kept for gangs of jobs that have not begun.
   RunNumber executed_run = 0;
   std::string checkpoint;    ///< Latest saved progress; empty if none.
--- a/tests/cells/cell_lease_confirmation_test.cc
+++ b/tests/cells/cell_lease_confirmation_test.cc
@@ -43,16 +43,18 @@
     AdvanceTime(std::chrono::duration_cast<milliseconds>(time - now_));
   }
 
-  /// No renewal that is sent from shortly before `end` on is confirmed. Returns how many starts
-  /// are sent although the lease that ends then may have been prolonged.
+  /// The store does not respond from shortly before `end` on. Returns how many starts are sent
+  /// although the lease that ends then may have been prolonged.
   std::size_t StartsWithoutConfirmationAfter(Instant end) {
     AdvanceTo(end - kLead);
     const std::size_t before = starts_.size();
-    renewals_confirmed_ = false;
+    LoseStore();
     AdvanceTo(end + kReactionTime);
     return starts_.size() - before;
   }
 
+  void LoseStore() { renewals_confirmed_ = store_answers_ = false; }
+
   /// Returns how many starts are sent once renewals are confirmed again.
   std::size_t StartsOnceConfirmed() {
     const std::size_t before = starts_.size();
@@ -112,12 +114,29 @@
   AdvanceTo(end - kLead);
   cell_->RecordOwnership(token_ + 2, now_);
   const Instant other_end = now_ + CellOptions().max_lease_after_renewal;
+  store_answers_ = false;
   AdvanceTo(other_end - milliseconds(100));
   CHECK(starts_.size() == 1);
   AdvanceTo(other_end + kReactionTime);
   CHECK(starts_.size() == 2);
 }
 
+// Guards against LOST: an append that is stored after the end of the lease shows that the other
+// owner had not fenced the partition by then, so it had granted nothing.
+TEST_CASE_METHOD(LeaseConfirmationTest,
+                 "Lease_OverAfterAnUnnoticedOwnerThatHadNotFenced_TaskIsStartedElsewhere") {
+  StartTask();
+  unresponsive_.insert(host_);
+  AdvanceTime(milliseconds(100));
+  const Instant end = cell_->FindRunnerById(host_)->lease_end;
+  AdvanceTo(end - kLead);
+  cell_->RecordOwnership(token_ + 2, now_);
+  AdvanceTo(end - milliseconds(100));
+  CHECK(starts_.size() == 1);
+  AdvanceTo(end + CellOptions().lease_limit_record_interval + kReactionTime);
+  CHECK(starts_.size() == 2);
+}
+
 // The owner hands the cell over while it does not know how long another owner's leases last.
 TEST_CASE_METHOD(LeaseConfirmationTest,
                  "Handover_AfterAnUnnoticedOwner_SuccessorWaitsForItsLeases") {
@@ -146,7 +165,7 @@
   /// The run of the task is gone, and the last renewal was confirmed before.
   void LoseRun(bool long_running, bool runner_restarts) {
     StartTask(long_running);
-    renewals_confirmed_ = false;
+    LoseStore();
     AdvanceTime(kLead);
     running_[host_].clear();
     if (runner_restarts) {
--- a/tests/cells/cell_world.cc
+++ b/tests/cells/cell_world.cc
@@ -167,7 +167,7 @@
 /// An owner renews at once when tasks wait for that.
 void CellWorld::RenewEarly(std::size_t index) {
   Owner& owner = *owners_[index];
-  if (owner.early_renewal_until > now_ || !owner.cell->awaits_confirmation()) return;
+  if (owner.early_renewal_until > now_ || !owner.cell->awaits_renewal()) return;
   owner.early_renewal_until = now_ + kEarlyRenewalTime;
   After(kEarlyRenewalTime,
         [this, index] { OnOwner(index, [this, index](Owner*) { SendRenewal(index); }); });
