--- a/tests/cells/cell_lease_confirmation_test.cc
+++ b/tests/cells/cell_lease_confirmation_test.cc
@@ -39,6 +39,18 @@
     host_ = IdOf(starts_.front().runner);
   }
 
+  /// The runner of the task is out of reach, and another instance owns the cell shortly before the
+  /// lease ends, between two renewals of this owner. Returns the end of the lease.
+  Instant LoseRunnerAndCellUnnoticed() {
+    StartTask();
+    unresponsive_.insert(host_);
+    AdvanceTime(milliseconds(100));
+    const Instant end = cell_->FindRunnerById(host_)->lease_end;
+    AdvanceTo(end - kLead);
+    cell_->RecordOwnership(token_ + 2, now_);
+    return end;
+  }
+
   void AdvanceTo(Instant time) {
     AdvanceTime(std::chrono::duration_cast<milliseconds>(time - now_));
   }
@@ -107,12 +119,7 @@
 // The store confirms renewals throughout, but the cell had another owner between two of them.
 TEST_CASE_METHOD(LeaseConfirmationTest,
                  "Lease_OverAfterAnUnnoticedOwner_TaskIsNotStartedElsewhere") {
-  StartTask();
-  unresponsive_.insert(host_);
-  AdvanceTime(milliseconds(100));
-  const Instant end = cell_->FindRunnerById(host_)->lease_end;
-  AdvanceTo(end - kLead);
-  cell_->RecordOwnership(token_ + 2, now_);
+  LoseRunnerAndCellUnnoticed();
   const Instant other_end = now_ + CellOptions().max_lease_after_renewal;
   store_answers_ = false;
   AdvanceTo(other_end - milliseconds(100));
@@ -125,12 +132,7 @@
 // owner had not fenced the partition by then, so it had granted nothing.
 TEST_CASE_METHOD(LeaseConfirmationTest,
                  "Lease_OverAfterAnUnnoticedOwnerThatHadNotFenced_TaskIsStartedElsewhere") {
-  StartTask();
-  unresponsive_.insert(host_);
-  AdvanceTime(milliseconds(100));
-  const Instant end = cell_->FindRunnerById(host_)->lease_end;
-  AdvanceTo(end - kLead);
-  cell_->RecordOwnership(token_ + 2, now_);
+  const Instant end = LoseRunnerAndCellUnnoticed();
   AdvanceTo(end - milliseconds(100));
   CHECK(starts_.size() == 1);
   AdvanceTo(end + CellOptions().lease_limit_record_interval + kReactionTime);
@@ -140,11 +142,7 @@
 // The owner hands the cell over while it does not know how long another owner's leases last.
 TEST_CASE_METHOD(LeaseConfirmationTest,
                  "Handover_AfterAnUnnoticedOwner_SuccessorWaitsForItsLeases") {
-  StartTask();
-  unresponsive_.insert(host_);
-  AdvanceTime(milliseconds(100));
-  AdvanceTo(cell_->FindRunnerById(host_)->lease_end - kLead);
-  cell_->RecordOwnership(token_ + 2, now_);
+  LoseRunnerAndCellUnnoticed();
   const Instant other_end = now_ + CellOptions().max_lease_after_renewal;
   cell_->PrepareHandover(milliseconds(0), Time());
   renewals_confirmed_ = false;
