--- a/tests/cells/ownership_test.cc
+++ b/tests/cells/ownership_test.cc
@@ -232,6 +232,27 @@
   CHECK(ownership_->renewal_interval() == milliseconds(500));
 }
 
+// Guards against LOST: a task that waits for a confirmation waits for the next periodic renewal.
+TEST_CASE_METHOD(OwnershipTest, "RenewEarly_NoRenewalIsInProgress_RenewsAtOnce") {
+  group_.views = {{3, {0}}, {4, {0, 1}}};
+  ownership_->Start();
+  ownership_->RenewEarly();
+  CHECK(ownership_->generation() == 4);
+}
+
+// Guards against a flood of renewals: cells ask again and again until a renewal is confirmed.
+TEST_CASE_METHOD(OwnershipTest, "RenewEarly_RenewalInProgressOrStoreUnavailable_SendsNone") {
+  group_.views = {{3, {0}}, {4, {0}}};
+  group_.before_response = [this] { ownership_->RenewEarly(); };
+  ownership_->Start();
+  CHECK(group_.views.size() == 1);
+  group_.views.clear();
+  ownership_->RenewNow();
+  group_.views = {{5, {0}}};
+  ownership_->RenewEarly();
+  CHECK(group_.views.size() == 1);
+}
+
 TEST_CASE_METHOD(OwnershipTest, "Start_SmallInstanceAmongEnoughLargeOnes_StandsBy") {
   Create(120);
   SetOwners(4, 500);
