--- a/cells/cell.h
+++ b/cells/cell.h
@@ -24,6 +24,7 @@
 #include "absl/status/statusor.h"
 #include "cells/cancelled_ids.h"
 #include "cells/capacity_reservation.h"
+#include "cells/cell_counters.h"
 #include "cells/cell_options.h"
 #include "cells/cell_types.h"
 #include "cells/commit_queue.h"
@@ -56,22 +57,6 @@
   UnixTime wall{};
 };
 
-/// Numbers of decisions since the takeover of the cell, for metrics.
-struct CellCounters {
-  std::uint64_t accepted = 0;
-  std::uint64_t refused = 0;
-  std::uint64_t starts = 0;
-  std::uint64_t starts_without_response = 0;
-  std::uint64_t starts_refused = 0;
-  std::uint64_t polls = 0;
-  std::uint64_t runs_done = 0;
-  std::uint64_t runs_failed = 0;
-  std::uint64_t runs_ended_otherwise = 0;
-  std::uint64_t runners_lost = 0;
-  std::uint64_t starts_passed_on = 0;  ///< To the entry of a later incarnation.
-  std::uint64_t completed = 0;
-};
-
 /// What the owner of a cell goes by for one team.
 struct TeamTerms {
   double weight = 0;  ///< See `Team::weight`.
